--- /dev/null
+++ b/cli/root.go
@@ -0,0 +1,26 @@
+// Package cli defines the commands of the carobwharf binary.
+package cli
+
+import (
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the binary.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // the command ran and reports a failure
+	ExitUsage    = 2 // wrong flags, arguments or settings
+	ExitConflict = 3 // another operator changed the same objects first
+)
+
+// NewRoot returns the root command with all subcommands.
+func NewRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "carobwharf",
+		Short:         "Fleet capacity and maintenance manager",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newVersionCmd())
+	return root
+}
--- /dev/null
+++ b/internal/archtest/archtest_test.go
@@ -0,0 +1,168 @@
+// Package archtest checks the structure of the code base: which packages may
+// import which, and that pure packages read no clock and no randomness.
+package archtest
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const module = "github.com/carobwharf/carobwharf/"
+
+// Packages of decisions: typed input, typed output, no I/O.
+var pure = []string{
+	"structs", "configcheck", "publication", "admission", "dispatch", "retry",
+	"intent", "budget", "rollout", "buffer", "placement", "membership", "lease",
+}
+
+// Imports that a pure package may have besides other pure packages.
+var pureAllowed = map[string]bool{
+	"cmp": true, "container/heap": true, "container/list": true, "crypto/sha256": true,
+	"encoding/binary": true, "encoding/hex": true, "errors": true, "fmt": true,
+	"hash/fnv": true, "maps": true, "math": true, "math/bits": true, "math/rand/v2": true,
+	"slices": true, "sort": true, "strconv": true, "strings": true, "time": true,
+}
+
+// Functions that read the clock or global randomness.
+var impureCalls = map[string][]string{
+	"time": {"Now", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick", "Since", "Until"},
+	"rand": {"Int", "IntN", "Int64", "Int64N", "Uint32", "Uint64", "Float64", "Perm", "Shuffle"},
+}
+
+// Packages with network access; only peer packages and stand-ins use them.
+var networkImports = []string{
+	"net", "net/http", "github.com/valyala/fasthttp", "storj.io/drpc",
+}
+
+type file struct {
+	dir, path string
+	syntax    *ast.File
+	fset      *token.FileSet
+}
+
+func sources(t *testing.T) []file {
+	t.Helper()
+	var out []file
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && strings.HasPrefix(d.Name(), ".") && d.Name() != ".." {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		fset := token.NewFileSet()
+		syntax, err := parser.ParseFile(fset, path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		rel, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		out = append(out, file{dir: filepath.ToSlash(filepath.Dir(rel)), path: rel, syntax: syntax, fset: fset})
+		return nil
+	})
+	require.NoError(t, err)
+	require.NotEmpty(t, out)
+	return out
+}
+
+func imports(f file) []string {
+	var out []string
+	for _, spec := range f.syntax.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err == nil {
+			out = append(out, path)
+		}
+	}
+	return out
+}
+
+func isPure(dir string) bool {
+	for _, p := range pure {
+		if dir == p {
+			return true
+		}
+	}
+	return false
+}
+
+// A decision that does I/O cannot be replayed from a recorded transcript.
+func TestPurePackagesImportOnlyPurePackages(t *testing.T) {
+	for _, f := range sources(t) {
+		if !isPure(f.dir) {
+			continue
+		}
+		for _, imp := range imports(f) {
+			ok := pureAllowed[imp] || isPure(strings.TrimPrefix(imp, module))
+			require.True(t, ok, "%s imports %s", f.path, imp)
+		}
+	}
+}
+
+func TestPurePackagesReadNoClockAndNoGlobalRandomness(t *testing.T) {
+	for _, f := range sources(t) {
+		if !isPure(f.dir) {
+			continue
+		}
+		ast.Inspect(f.syntax, func(n ast.Node) bool {
+			sel, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			pkg, ok := sel.X.(*ast.Ident)
+			if !ok {
+				return true
+			}
+			for _, name := range impureCalls[pkg.Name] {
+				require.NotEqual(t, name, sel.Sel.Name, "%s uses %s.%s", f.path, pkg.Name, name)
+			}
+			return true
+		})
+	}
+}
+
+// Another wire format must be one new package and nothing else.
+func TestOnlyPeersAndStandinsUseTheNetwork(t *testing.T) {
+	for _, f := range sources(t) {
+		if strings.HasPrefix(f.dir, "peer/") || strings.HasPrefix(f.dir, "standin/") {
+			continue
+		}
+		for _, imp := range imports(f) {
+			for _, banned := range networkImports {
+				require.False(t, imp == banned || strings.HasPrefix(imp, banned+"/"), "%s imports %s", f.path, imp)
+			}
+		}
+	}
+}
+
+// State belongs to one duty; a mutex between duties would hide a second owner.
+func TestNoMutexes(t *testing.T) {
+	for _, f := range sources(t) {
+		if strings.HasSuffix(f.path, ".pb.go") {
+			continue
+		}
+		ast.Inspect(f.syntax, func(n ast.Node) bool {
+			sel, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			if pkg, ok := sel.X.(*ast.Ident); ok && pkg.Name == "sync" {
+				require.NotContains(t, []string{"Mutex", "RWMutex", "Map"}, sel.Sel.Name, f.path)
+			}
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/store/keys.go
@@ -0,0 +1,39 @@
+package store
+
+// Keys of the table. Each prefix ends with a slash, so that Scan finds the
+// rows of one kind.
+const (
+	KeyConfigHead      = "config/head"
+	PrefixSubmission   = "config/submission/"
+	PrefixIntent       = "intent/"
+	PrefixVM           = "vm/"
+	PrefixPool         = "pool/"
+	PrefixLease        = "lease/"
+	PrefixMember       = "member/"
+	PrefixJob          = "job/"
+	PrefixPlan         = "plan/"
+	ObjectPrefixConfig = "config/"
+	ObjectPrefixAnswer = "answer/"
+)
+
+// KeySubmission returns the key of a submission's row.
+func KeySubmission(id string) string { return PrefixSubmission + id }
+
+// KeyIntent returns the key of the idempotency record of a service and an
+// idempotency key.
+func KeyIntent(service, key string) string { return PrefixIntent + service + "/" + key }
+
+// KeyVM returns the key of a VM's ownership row.
+func KeyVM(id string) string { return PrefixVM + id }
+
+// KeyAbsence returns the key of a pool's absence row.
+func KeyAbsence(pool string) string { return PrefixPool + pool + "/absence" }
+
+// KeyLease returns the key of a pool's lease.
+func KeyLease(pool string) string { return PrefixLease + pool }
+
+// KeyMember returns the key of a process's row.
+func KeyMember(id string) string { return PrefixMember + id }
+
+// KeyPlan returns the key of a stop plan's progress.
+func KeyPlan(name string) string { return PrefixPlan + name }
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,120 @@
+// Package store is the contract between carobwharf and the platform: a
+// transactional table, an object store, a list of VMs and the workers. The
+// packages under peer implement it for one platform each.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Errors that every implementation returns, wrapped with context.
+var (
+	// ErrNotFound: the row or object does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrUnavailable: the platform did not take the call; nothing changed.
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrUnknown: the call may have taken effect. The caller reads back.
+	ErrUnknown = errors.New("result unknown")
+)
+
+// ConflictError reports the keys whose condition did not hold. Nothing of the
+// transaction took effect.
+type ConflictError struct {
+	Keys []string
+}
+
+// Error lists the keys.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("condition failed for %s", strings.Join(e.Keys, ", "))
+}
+
+// Row is one row of the table. Versions start at 1 and grow with each write
+// of the row; a row that is deleted and inserted again does not reuse one.
+type Row struct {
+	Key     string
+	Version uint64
+	Value   []byte
+}
+
+// OpKind is the kind of an operation in a transaction.
+type OpKind int
+
+// Operation kinds.
+const (
+	OpInsert OpKind = iota // the row must not exist
+	OpUpdate               // the row must have version Expect
+	OpDelete               // the row must have version Expect
+	OpCheck                // the row must have version Expect (0: must not exist); nothing is written
+	OpPut                  // unconditional write
+)
+
+// Op is one operation of a transaction.
+type Op struct {
+	Kind   OpKind
+	Key    string
+	Expect uint64
+	Value  []byte
+}
+
+// MaxOps is the greatest number of operations in one transaction.
+const MaxOps = 256
+
+// Table is the transactional table.
+type Table interface {
+	// Get returns the row, or ErrNotFound.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns at most limit rows whose keys start with prefix and sort
+	// after the key after, in key order.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies all operations or none. It returns the new version for
+	// each operation (0 for deletes and checks), a *ConflictError,
+	// ErrUnavailable, or ErrUnknown.
+	Commit(ctx context.Context, ops []Op) ([]uint64, error)
+}
+
+// Objects is the object store. Objects are immutable: names contain a hash of
+// the content.
+type Objects interface {
+	PutObject(ctx context.Context, name string, data []byte) error
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+// VMs is the platform's lagging list of VMs and its control of them.
+type VMs interface {
+	ListVMs(ctx context.Context) ([]structs.VM, error)
+	// RebootVM starts a reboot; the VM leaves the list and returns to it.
+	RebootVM(ctx context.Context, id string) error
+}
+
+// Platform is everything that the platform offers.
+type Platform interface {
+	Table
+	Objects
+	VMs
+}
+
+// Rows of a prefix are read in pages of this many.
+const scanPage = 500
+
+// ScanAll reads all rows with the prefix, page by page. Rows that change
+// between two pages may be seen in either state.
+func ScanAll(ctx context.Context, t Table, prefix string) ([]Row, error) {
+	var all []Row
+	after := ""
+	for {
+		page, err := t.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return nil, fmt.Errorf("scan %s: %w", prefix, err)
+		}
+		all = append(all, page...)
+		if len(page) < scanPage {
+			return all, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
