Add peers, membership and the VM view

Every process needs to know which others are alive and which VMs belong to which pool. This adds the drpc services of members, gateways and controllers on one listener per process, the pure membership view, the members duty and the VM view duty.

A member is suspected for lack of news, direct or relayed, and not for one failed probe: relayed beats do the work of indirect probes, and loss in one direction between two processes causes no suspicion. Probing with indirect probes was ruled out because it needs a second kind of message.

After a missed deadline the dialer drops all idle connections to the address, because a connection can go silent for good while new ones work.

The tests run five processes over loopback with a fifth of the heartbeats lost, once with the platform down and one seed, once without seeds.

--- /dev/null
+++ b/node/members/calls.go
@@ -0,0 +1,135 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/carobwharf/carobwharf/membership"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// State is the duty's state dump.
+type State struct {
+	Self    structs.Member
+	Health  int
+	Members []membership.Update
+	Ring    ring.Stats
+}
+
+var errDropped = errors.New("heartbeat dropped by the loss setting")
+
+// Heartbeat takes in a peer's heartbeat and returns the answer. It is called
+// by the drpc server's goroutines.
+func (d *Duty) Heartbeat(ctx context.Context, m membership.Message) (membership.Message, error) {
+	reply := make(chan membership.Message, 1)
+	if err := d.events.Put(ctx, received{message: m, reply: reply}); err != nil {
+		return membership.Message{}, fmt.Errorf("heartbeat not taken: %w", err)
+	}
+	select {
+	case out := <-reply:
+		return out, nil
+	case <-ctx.Done():
+		return membership.Message{}, ctx.Err()
+	}
+}
+
+// SetConfig tells the duty which configuration is in force; heartbeats carry
+// it to the peers.
+func (d *Duty) SetConfig(ctx context.Context, generation uint64, hash string) error {
+	return d.events.Put(ctx, configured{generation: generation, hash: hash})
+}
+
+// Dump returns the duty's State, or nil if ctx ends first.
+func (d *Duty) Dump(ctx context.Context) any {
+	reply := make(chan State, 1)
+	if d.events.Put(ctx, dumped{reply: reply}) != nil {
+		return nil
+	}
+	select {
+	case s := <-reply:
+		return s
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (d *Duty) send(ctx context.Context, addr, to string) {
+	if d.rng.Float64() < d.opts.Loss {
+		answered{to: to, err: errDropped}.apply(d, time.Now())
+		return
+	}
+	m := d.view.Message(to)
+	err := d.pool.Go(func() {
+		out, err := d.opts.Sender.Heartbeat(ctx, addr, m)
+		_ = d.events.Put(ctx, answered{to: to, message: out, err: err})
+	})
+	if err != nil {
+		d.opts.Metrics.Counter("members.skipped").Inc(1)
+	}
+}
+
+// exchangeRows writes the own row and reads those of the other processes.
+func (d *Duty) exchangeRows(ctx context.Context) {
+	if d.rowBusy {
+		return
+	}
+	self := d.view.Self()
+	err := d.pool.Go(func() {
+		members, err := exchange(ctx, d.opts.Table, self)
+		_ = d.events.Put(ctx, rowsRead{members: members, err: err})
+	})
+	d.rowBusy = err == nil
+}
+
+func exchange(ctx context.Context, t store.Table, self structs.Member) ([]structs.Member, error) {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return nil, fmt.Errorf("encode member row: %w", err)
+	}
+	put := store.Op{Kind: store.OpPut, Key: store.KeyMember(self.ID), Value: value}
+	if _, err := t.Commit(ctx, []store.Op{put}); err != nil && !errors.Is(err, store.ErrUnknown) {
+		return nil, fmt.Errorf("write member row: %w", err)
+	}
+	rows, err := store.ScanAll(ctx, t, store.PrefixMember)
+	if err != nil {
+		return nil, fmt.Errorf("read member rows: %w", err)
+	}
+	var out []structs.Member
+	for _, r := range rows {
+		var m structs.Member
+		if json.Unmarshal(r.Value, &m) == nil && m.ID != self.ID {
+			out = append(out, m)
+		}
+	}
+	return out, nil
+}
+
+// leave announces the end of this process to some peers and deletes its row.
+// Other processes would notice without it, only later.
+func (d *Duty) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.opts.Membership.Interval)
+	defer cancel()
+	farewell := d.view.Farewell()
+	var tasks []func()
+	for i, m := range d.view.Live() {
+		if m.ID != d.view.Self().ID && i <= 2*d.opts.Membership.Fanout {
+			tasks = append(tasks, func() { _, _ = d.opts.Sender.Heartbeat(ctx, m.Addr, farewell) })
+		}
+	}
+	key := store.KeyMember(d.view.Self().ID)
+	tasks = append(tasks, func() {
+		if r, err := d.opts.Table.Get(ctx, key); err == nil {
+			_, _ = d.opts.Table.Commit(ctx, []store.Op{{Kind: store.OpDelete, Key: key, Expect: r.Version}})
+		}
+	})
+	group := d.pool.NewGroup()
+	for _, task := range tasks {
+		group.Submit(task)
+	}
+	_ = group.Wait()
+}
--- /dev/null
+++ b/node/vmview/vmview_test.go
@@ -0,0 +1,54 @@
+package vmview
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/internal/storetest"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+func newDuty(f *storetest.Fake) (*Duty, *ring.Ring[*structs.FleetView]) {
+	out := ring.New[*structs.FleetView]("fleet", 1, ring.KeepNewest)
+	return New(Options{
+		Poll: time.Millisecond, Timeout: time.Second, Table: f, VMs: f,
+		Subscribers: []*ring.Ring[*structs.FleetView]{out},
+		Log:         hclog.NewNullLogger(), Metrics: metrics.New(),
+	}), out
+}
+
+// An outage of the platform must not empty the view: gateways go on sending
+// idempotent work to the VMs they know. A row that cannot be decoded must not
+// hide the others.
+func TestOutageAndBadRowKeepTheView(t *testing.T) {
+	ctx := context.Background()
+	f := storetest.New(1)
+	f.AddVM(structs.VM{ID: "b"})
+	f.AddVM(structs.VM{ID: "a"})
+	_, err := f.Commit(ctx, []store.Op{
+		{Kind: store.OpInsert, Key: store.KeyVM("a"), Value: []byte(`{"VM":"a","Pool":"p","State":"active","Epoch":3}`)},
+		{Kind: store.OpInsert, Key: store.KeyVM("b"), Value: []byte(`{`)},
+	})
+	require.NoError(t, err)
+	d, out := newDuty(f)
+	d.read(ctx)
+	view := <-out.C()
+	require.Equal(t, []structs.VM{{ID: "a"}, {ID: "b"}}, view.VMs)
+	require.Equal(t, []structs.Owner{{VM: "a", Pool: "p", State: structs.OwnerActive, Epoch: 3, Version: 1}}, view.Owners)
+
+	f.SetFaults(storetest.Faults{Outage: true})
+	d.read(ctx)
+	require.Zero(t, out.Stats().Depth, "an outage published a view")
+	require.Same(t, view, d.Dump(ctx))
+
+	f.SetFaults(storetest.Faults{})
+	d.read(ctx)
+	require.Equal(t, uint64(2), (<-out.C()).Version)
+}
--- /dev/null
+++ b/peer/member/member.go
@@ -0,0 +1,115 @@
+// Package member speaks to any process of the project as a member: heartbeats
+// and the transfer of configurations, over drpc.
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"storj.io/drpc"
+
+	"github.com/carobwharf/carobwharf/membership"
+	"github.com/carobwharf/carobwharf/peer/link"
+	"github.com/carobwharf/carobwharf/peer/member/memberpb"
+)
+
+// MaxConfig is the greatest size of an encoded configuration in bytes.
+const MaxConfig = 4 << 20
+
+// MaxUpdates is the greatest number of updates in one heartbeat that a server
+// takes in.
+const MaxUpdates = 256
+
+// ErrTooLarge: a message exceeds MaxConfig or MaxUpdates.
+var ErrTooLarge = errors.New("message too large")
+
+// ConfigBlob is an encoded configuration as it is kept in the object store.
+type ConfigBlob struct {
+	Generation uint64
+	Hash       string // hex SHA-256 of Data; the receiver verifies it
+	Data       []byte
+}
+
+// HeartbeatHandler answers heartbeats. It may be called from many goroutines.
+type HeartbeatHandler interface {
+	Heartbeat(ctx context.Context, m membership.Message) (membership.Message, error)
+}
+
+// ConfigSource gives out configurations. It may be called from many
+// goroutines.
+type ConfigSource interface {
+	// FetchConfig returns the configuration of the generation, or the newest
+	// one for generation 0.
+	FetchConfig(ctx context.Context, generation uint64) (ConfigBlob, error)
+}
+
+// Register adds the member service to the process's server.
+func Register(s *link.Server, h HeartbeatHandler, c ConfigSource) error {
+	return s.Register(&server{heartbeats: h, configs: c}, memberpb.DRPCMemberDescription{})
+}
+
+type server struct {
+	heartbeats HeartbeatHandler
+	configs    ConfigSource
+}
+
+func (s *server) Heartbeat(ctx context.Context, in *memberpb.HeartbeatMessage) (*memberpb.HeartbeatMessage, error) {
+	if len(in.GetUpdates()) > MaxUpdates {
+		return nil, fmt.Errorf("%w: %d updates, at most %d are taken", ErrTooLarge, len(in.GetUpdates()), MaxUpdates)
+	}
+	out, err := s.heartbeats.Heartbeat(ctx, decodeMessage(in))
+	if err != nil {
+		return nil, err
+	}
+	return encodeMessage(out), nil
+}
+
+func (s *server) FetchConfig(ctx context.Context, in *memberpb.FetchConfigRequest) (*memberpb.FetchConfigReply, error) {
+	blob, err := s.configs.FetchConfig(ctx, in.GetGeneration())
+	if err != nil {
+		return nil, err
+	}
+	if len(blob.Data) > MaxConfig {
+		return nil, fmt.Errorf("%w: configuration of %d bytes, at most %d are sent", ErrTooLarge, len(blob.Data), MaxConfig)
+	}
+	return &memberpb.FetchConfigReply{Generation: blob.Generation, Hash: blob.Hash, Data: blob.Data}, nil
+}
+
+// Client calls other processes. Every call ends within the dialer's timeout.
+type Client struct {
+	dialer *link.Dialer
+}
+
+// NewClient returns a client that uses the dialer's connections.
+func NewClient(d *link.Dialer) *Client { return &Client{dialer: d} }
+
+// Heartbeat sends a message to the process at addr and returns its answer.
+func (c *Client) Heartbeat(ctx context.Context, addr string, m membership.Message) (membership.Message, error) {
+	var out *memberpb.HeartbeatMessage
+	err := c.dialer.Call(ctx, addr, func(ctx context.Context, conn drpc.Conn) (err error) {
+		out, err = memberpb.NewDRPCMemberClient(conn).Heartbeat(ctx, encodeMessage(m))
+		return err
+	})
+	if err != nil {
+		return membership.Message{}, fmt.Errorf("heartbeat: %w", err)
+	}
+	return decodeMessage(out), nil
+}
+
+// FetchConfig asks the process at addr for the configuration of a generation,
+// or the newest one for generation 0.
+func (c *Client) FetchConfig(ctx context.Context, addr string, generation uint64) (ConfigBlob, error) {
+	var out *memberpb.FetchConfigReply
+	err := c.dialer.Call(ctx, addr, func(ctx context.Context, conn drpc.Conn) (err error) {
+		out, err = memberpb.NewDRPCMemberClient(conn).FetchConfig(ctx, &memberpb.FetchConfigRequest{Generation: generation})
+		return err
+	})
+	if err != nil {
+		return ConfigBlob{}, fmt.Errorf("fetch configuration %d: %w", generation, err)
+	}
+	if len(out.GetData()) > MaxConfig {
+		return ConfigBlob{}, fmt.Errorf("fetch configuration %d: %w", generation, ErrTooLarge)
+	}
+	return ConfigBlob{Generation: out.GetGeneration(), Hash: out.GetHash(), Data: out.GetData()}, nil
+}
