Add the pool keeper and the decisions it rests on

VMs that no pool owns must come into use, VMs must move and be stopped within the budgets, and two controllers that both believe to hold a pool's lease must do no harm.

Every change is one conditional transaction. Checking the lease row in each transaction was ruled out: each renewal would make the holder's own changes fail. Instead a change that lowers the availability of a pool also writes the pool's absence row, which is read before the ownership rows. The VM list and the row states are compared on readings only, never on the time at which a decision is made.

RebootVM has no fencing token. The row is read just before the call and the call is not begun after the end of the lease; a process that is paused between the two could still reboot a VM that is in use again.

A test adopts 24 VMs with two controllers and a fifth of the commits without a known result. Moves, stop plans and races are not tested yet.

--- /dev/null
+++ b/daemon/controller/poolkeeper/calls.go
@@ -0,0 +1,111 @@
+package poolkeeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+var errRowChanged = errors.New("the ownership row has changed")
+
+// perform carries out one action that blocks, and returns its result.
+func (d *Duty) perform(ctx context.Context, a Action) Event {
+	ctx, cancel := context.WithTimeout(ctx, d.opts.Timeout)
+	defer cancel()
+	switch a := a.(type) {
+	case ReadRows:
+		return d.readRows(ctx)
+	case Change:
+		return d.commit(ctx, a)
+	case Confirm:
+		n, err := d.opts.Gateways.ConfirmDrain(ctx, a.Gateway.Addr, a.VM, a.Epoch)
+		return Confirmed{Confirm: a, InFlight: n, Err: err}
+	case Reboot:
+		return Rebooted{Reboot: a, Err: d.reboot(ctx, a)}
+	}
+	panic(fmt.Sprintf("poolkeeper: action %T", a))
+}
+
+// refused returns the result of an action that found no place in the pool.
+func refused(a Action, err error) Event {
+	switch a := a.(type) {
+	case Change:
+		return Committed{Change: a, Err: err}
+	case Confirm:
+		return Confirmed{Confirm: a, Err: err}
+	case Reboot:
+		return Rebooted{Reboot: a, Err: err}
+	}
+	return RowsRead{Err: err}
+}
+
+func (d *Duty) readRows(ctx context.Context) RowsRead {
+	started := time.Now()
+	rows, bad, err := readRows(ctx, d.opts.Platform)
+	for _, b := range bad {
+		d.opts.Log.Error("row skipped", "error", b)
+	}
+	if err != nil {
+		d.opts.Metrics.Counter("poolkeeper.read_failed").Inc(1)
+		d.opts.Log.Warn("platform not read", "error", err)
+	}
+	return RowsRead{Started: started, Rows: rows, Err: err}
+}
+
+// commit makes a change. If the result is not known, the rows are read back:
+// the change took effect if each of them has the value that was written.
+func (d *Duty) commit(ctx context.Context, c Change) Committed {
+	result := Committed{Change: c, Sent: time.Now()}
+	ops := c.ops()
+	result.Versions, result.Err = d.opts.Platform.Commit(ctx, ops)
+	if errors.Is(result.Err, store.ErrUnknown) {
+		result.Versions, result.Err = d.readBack(ctx, ops)
+	}
+	result.Done = result.Err == nil
+	return result
+}
+
+func (d *Duty) readBack(ctx context.Context, ops []store.Op) ([]uint64, error) {
+	d.opts.Metrics.Counter("poolkeeper.read_back").Inc(1)
+	versions := make([]uint64, len(ops))
+	for i, op := range ops {
+		row, err := d.opts.Platform.Get(ctx, op.Key)
+		if err != nil {
+			return nil, fmt.Errorf("read back %s: %w", op.Key, err)
+		}
+		if !bytes.Equal(row.Value, op.Value) || row.Version == op.Expect {
+			return nil, fmt.Errorf("read back %s: the change did not take effect", op.Key)
+		}
+		versions[i] = row.Version
+	}
+	return versions, nil
+}
+
+// reboot checks the ownership row just before the call and does not begin
+// after the end of the lease: the platform's reboot has no fencing, and a
+// holder that was paused must not reboot a VM that is in use again.
+func (d *Duty) reboot(ctx context.Context, r Reboot) error {
+	ctx, cancel := context.WithDeadline(ctx, r.Until)
+	defer cancel()
+	row, err := d.opts.Platform.Get(ctx, store.KeyVM(r.VM))
+	if err != nil {
+		return fmt.Errorf("reboot of %s: %w", r.VM, err)
+	}
+	var o structs.Owner
+	if err := json.Unmarshal(row.Value, &o); err != nil {
+		return fmt.Errorf("reboot of %s: %w", r.VM, err)
+	}
+	if o.Epoch != r.Epoch || o.State != structs.OwnerRebooting {
+		return fmt.Errorf("reboot of %s: %w", r.VM, errRowChanged)
+	}
+	if err := d.opts.Platform.RebootVM(ctx, r.VM); err != nil {
+		return fmt.Errorf("reboot of %s: %w", r.VM, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/controller/poolkeeper/duty_test.go
@@ -0,0 +1,121 @@
+package poolkeeper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/buffer"
+	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/internal/storetest"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/node/vmview"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// idleGateways confirms every drain.
+type idleGateways struct{}
+
+func (idleGateways) ConfirmDrain(context.Context, string, string, uint64) (int, error) { return 0, nil }
+
+func testConfig(id string) Config {
+	return Config{
+		ID: id, LeaseDuration: 400 * time.Millisecond, Reconcile: 20 * time.Millisecond,
+		RowLifetime: 300 * time.Millisecond, DrainTimeout: time.Second, RebootTimeout: 200 * time.Millisecond,
+		PauseFor: time.Second, AdoptBatch: 200,
+		Buffer: buffer.Config{FillAfter: 50 * time.Millisecond, ReturnAfter: 200 * time.Millisecond, Group: 50 * time.Millisecond, MaxMoves: 8},
+	}
+}
+
+// startKeeper runs a pool keeper and a VM view on the fake platform. others
+// are the IDs of all controllers.
+func startKeeper(t *testing.T, f *storetest.Fake, id string, others []string, set structs.ObjectSet) *Duty {
+	t.Helper()
+	log, reg := hclog.NewNullLogger(), metrics.New()
+	fleet := ring.New[*structs.FleetView]("fleet", 1, ring.KeepNewest)
+	members := ring.New[*structs.MemberView]("members", 1, ring.KeepNewest)
+	configs := ring.New[*structs.Config]("configs", 1, ring.KeepNewest)
+	view := &structs.MemberView{}
+	for _, c := range others {
+		view.Live = append(view.Live, structs.Member{ID: c, Role: structs.RoleController})
+	}
+	ctx := context.Background()
+	require.NoError(t, members.Put(ctx, view))
+	require.NoError(t, configs.Put(ctx, &structs.Config{Generation: 1, Set: set}))
+	d, err := New(Options{
+		Config: testConfig(id), Timeout: time.Second, Workers: 8, Platform: f, Gateways: idleGateways{},
+		Fleet: fleet, Members: members, Configs: configs, Log: log, Metrics: reg,
+	})
+	require.NoError(t, err)
+	sup := duty.NewSupervisor()
+	views := vmview.New(vmview.Options{
+		Poll: 10 * time.Millisecond, Timeout: time.Second, Table: f, VMs: f,
+		Subscribers: []*ring.Ring[*structs.FleetView]{fleet}, Log: log, Metrics: reg,
+	})
+	sup.Add(duty.Duty{Name: "poolkeeper", Run: d.Run})
+	sup.Add(duty.Duty{Name: "vmview", Run: views.Run})
+	sup.Start(ctx)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+		defer cancel()
+		require.NoError(t, sup.Stop(ctx))
+	})
+	return d
+}
+
+func addVMs(f *storetest.Fake, n int) {
+	for i := range n {
+		f.AddVM(structs.VM{
+			ID: fmt.Sprintf("vm%03d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Rack: fmt.Sprintf("r%d", i/3%2),
+			State: structs.VMLive, Slots: 8,
+		})
+	}
+}
+
+func ownersIn(f *storetest.Fake) map[string][]structs.Owner {
+	out := map[string][]structs.Owner{}
+	for _, r := range f.Rows(store.PrefixVM) {
+		var o structs.Owner
+		if json.Unmarshal(r.Value, &o) == nil {
+			out[o.Pool] = append(out[o.Pool], o)
+		}
+	}
+	return out
+}
+
+// VMs that no pool owns must come into use without an operator, spread over
+// the data centres, and two controllers must not give one VM to two pools.
+func TestAdoptsUnownedVMs(t *testing.T) {
+	f := storetest.New(1)
+	f.SetFaults(storetest.Faults{LostAfter: 0.1, LostBefore: 0.1, Delay: 2 * time.Millisecond})
+	addVMs(f, 24)
+	set := structs.ObjectSet{Pools: []structs.Pool{
+		{Name: "a", Target: 9, Max: 12, Spread: structs.DomainDataCentre},
+		{Name: "b", Target: 6, Max: 12, Spread: structs.DomainDataCentre},
+		{Name: "spare", Spare: true},
+	}}
+	ids := []string{"c1", "c2"}
+	for _, id := range ids {
+		startKeeper(t, f, id, ids, set)
+	}
+	require.Eventually(t, func() bool { return len(f.Rows(store.PrefixVM)) == 24 }, 20*time.Second, 10*time.Millisecond)
+	owners := ownersIn(f)
+	require.Len(t, owners["a"], 9)
+	require.Len(t, owners["b"], 6)
+	require.Len(t, owners["spare"], 9)
+	perDC := map[int]int{}
+	for _, o := range owners["a"] {
+		var n int
+		_, err := fmt.Sscanf(o.VM, "vm%d", &n)
+		require.NoError(t, err)
+		perDC[n%3]++
+	}
+	require.Equal(t, map[int]int{0: 3, 1: 3, 2: 3}, perDC)
+}
--- /dev/null
+++ b/daemon/controller/poolkeeper/pool.go
@@ -0,0 +1,134 @@
+package poolkeeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/carobwharf/carobwharf/budget"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+func poolSlot(pool string) string { return "pool/" + pool }
+
+// ledger returns the pool's ledger of absences. A VM that is not in use and
+// has no absence recorded yet counts as absent.
+func (m *Machine) ledger(pool string) *budget.Ledger {
+	var vms []structs.VM
+	absences := m.absences[pool].Absences
+	for _, id := range m.idsOf(pool) {
+		o := m.owners[id]
+		vms = append(vms, m.describe(id))
+		if _, live := m.listed[id]; !live || o.State != structs.OwnerActive {
+			absences = append(absences[:len(absences):len(absences)], structs.Absence{VM: id})
+		}
+	}
+	return budget.New(pool, m.set.Budgets, vms, absences)
+}
+
+func (m *Machine) describe(id string) structs.VM {
+	if vm, ok := m.known[id]; ok {
+		return vm
+	}
+	return structs.VM{ID: id}
+}
+
+func (m *Machine) domain(id string) string {
+	d, _ := budget.DomainOf(m.describe(id), structs.DomainRack)
+	return d
+}
+
+// ownedBy returns the VMs of a pool, sorted by ID.
+func (m *Machine) ownedBy(pool string) []structs.Owner {
+	ids := m.idsOf(pool)
+	out := make([]structs.Owner, len(ids))
+	for i, id := range ids {
+		out[i] = m.owners[id].Owner
+	}
+	return out
+}
+
+// idsOf returns the IDs of a pool's VMs, sorted. The index is built again
+// after a VM has changed its pool.
+func (m *Machine) idsOf(pool string) []string {
+	if m.byPool == nil {
+		m.byPool = map[string][]string{}
+		for _, id := range slices.Sorted(maps.Keys(m.owners)) {
+			p := m.owners[id].Pool
+			m.byPool[p] = append(m.byPool[p], id)
+		}
+	}
+	return m.byPool[pool]
+}
+
+// decidePool reconciles one pool whose lease is held: what was begun goes on,
+// absences are recorded, and stop plans begin new stops.
+func (m *Machine) decidePool(now time.Time, p *structs.Pool) {
+	owned := m.ownedBy(p.Name)
+	for _, o := range owned {
+		m.askGateways(now, o)
+		m.callReboot(now, o)
+	}
+	if !m.free(poolSlot(p.Name)) {
+		return
+	}
+	for _, o := range owned {
+		if c, ok := m.advance(now, o); ok {
+			c.Slot = poolSlot(p.Name)
+			m.change(c)
+			return
+		}
+	}
+	if m.up(now) {
+		if c, ok := m.bookAbsences(now, p.Name, owned); ok {
+			m.change(c)
+			return
+		}
+		m.decidePlans(now, p.Name, owned)
+	}
+}
+
+// advance returns the next change of a VM that is being moved or stopped.
+func (m *Machine) advance(now time.Time, o structs.Owner) (Change, bool) {
+	switch o.State {
+	case structs.OwnerDraining:
+		return m.advanceDrain(now, o)
+	case structs.OwnerRebooting:
+		return m.advanceReboot(now, o)
+	}
+	return Change{}, false
+}
+
+// bookAbsences records which active VMs are missing, and removes the record of
+// those that are back.
+func (m *Machine) bookAbsences(now time.Time, pool string, owned []structs.Owner) (Change, bool) {
+	row := m.absences[pool]
+	row.Pool = pool
+	list := slices.Clone(row.Absences)
+	state := make(map[string]structs.OwnerState, len(owned))
+	for _, o := range owned {
+		state[o.VM] = o.State
+		if _, live := m.listed[o.VM]; !live && o.State == structs.OwnerActive && m.absenceOf(pool, o.VM) < 0 {
+			list = append(list, structs.Absence{VM: o.VM, Domain: m.domain(o.VM), Since: now})
+		}
+	}
+	list = slices.DeleteFunc(list, func(a structs.Absence) bool {
+		_, live := m.listed[a.VM]
+		s, ours := state[a.VM]
+		return !ours || (live && s == structs.OwnerActive)
+	})
+	sortAbsences(list)
+	if slices.Equal(list, row.Absences) {
+		return Change{}, false
+	}
+	row.Absences = list
+	return Change{Slot: poolSlot(pool), Kind: "absences", Absence: &row}, true
+}
+
+// release returns the pool's absence row without the VM.
+func (m *Machine) release(pool, vm string) *AbsenceRow {
+	row := m.absences[pool]
+	row.Pool = pool
+	row.Absences = slices.DeleteFunc(slices.Clone(row.Absences), func(a structs.Absence) bool { return a.VM == vm })
+	return &row
+}
