Test stop plans of the pool keeper in virtual time

Two machines, three gateways and a fake platform run under seeded faults: lost transaction results, pauses beyond the lease, a dead gateway. After every commit the test checks that no budget is broken and no request is cut off.

A plan now waits for the first VM of its pool.

--- /dev/null
+++ b/daemon/controller/poolkeeper/machine_test.go
@@ -0,0 +1,91 @@
+package poolkeeper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/internal/storetest"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+func testSet() structs.ObjectSet {
+	return structs.ObjectSet{
+		Pools: []structs.Pool{
+			{Name: "a", Target: 8, Min: 4, Max: 12, Spread: structs.DomainDataCentre},
+			{Name: "b", Target: 5, Min: 2, Max: 12, Spread: structs.DomainRack},
+			{Name: "spare", Spare: true},
+		},
+		Budgets: []structs.Budget{
+			{Name: "a", Pool: "a", MaxUnavailable: 2, MinAvailable: 4, Survive: structs.DomainRack},
+			{Name: "b", Pool: "b", MaxUnavailable: 1},
+		},
+		StopPlans: []structs.StopPlan{
+			{Name: "kernel-a", Pool: "a", Order: structs.DomainRack, Width: 3, DrainTimeout: 20 * time.Second, RebootTimeout: time.Minute},
+			{Name: "kernel-b", Pool: "b", Order: structs.DomainRack, Width: 1, After: "kernel-a"},
+		},
+	}
+}
+
+func (s *sim) plansFinished(names ...string) func() bool {
+	return func() bool {
+		for _, name := range names {
+			if s.nodes[0].m.plans[name].Progress.Finished.IsZero() {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Stop plans must end with every VM maintained, without a budget broken or a
+// request cut off, when transaction results are lost, controllers are paused
+// beyond their lease and a gateway dies.
+func TestStopPlansSurviveFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(seed, 2, 3, testSet())
+			s.f.SetFaults(storetest.Faults{LostBefore: 0.05, LostAfter: 0.05, Unavailable: 0.02})
+			addVMs(s.f, 18)
+			s.every(40*time.Second, func() {
+				s.nodes[s.rng.IntN(2)].frozen = s.now.Add(time.Duration(s.rng.IntN(25)) * time.Second)
+			})
+			s.after(time.Minute, func() {
+				s.gateways[0].dead = true
+				for _, n := range s.nodes {
+					s.deliver(n, MembersSeen{View: s.members()})
+				}
+			})
+			done := s.run(2*time.Hour, s.plansFinished("kernel-a", "kernel-b"))
+			require.Empty(t, s.broken)
+			require.True(t, done, "plans: %+v", s.nodes[0].m.plans)
+			reboots := s.f.Reboots()
+			for _, o := range append(s.owned("a"), s.owned("b")...) {
+				require.NotZero(t, reboots[o.VM], "%s was not rebooted", o.VM)
+			}
+		})
+	}
+}
+
+func (s *sim) owned(pool string) []structs.Owner { return ownersIn(s.f)[pool] }
+
+// While the platform cannot be read, no planned stop begins.
+func TestNoStopsDuringOutage(t *testing.T) {
+	s := newSim(1, 1, 1, testSet())
+	addVMs(s.f, 18)
+	s.run(30*time.Second, func() bool { return false })
+	begun := len(s.f.Reboots())
+	require.NotZero(t, begun)
+	s.f.SetFaults(storetest.Faults{Outage: true})
+	rows := s.f.Rows("")
+	s.run(5*time.Minute, func() bool { return false })
+	require.False(t, s.nodes[0].m.up(s.now))
+	require.Equal(t, rows, s.f.Rows(""))
+	s.f.SetFaults(storetest.Faults{})
+	require.True(t, s.run(time.Hour, s.plansFinished("kernel-a")))
+	require.Empty(t, s.broken)
+	require.NotEmpty(t, s.f.Rows(store.PrefixPlan))
+}
--- a/daemon/controller/poolkeeper/plans.go
+++ b/daemon/controller/poolkeeper/plans.go
@@ -8,8 +8,13 @@
 )
 
 // decidePlans begins the next stop of the pool's stop plans, at most one in
-// each step; the next step follows the result of the transaction.
+// each step; the next step follows the result of the transaction. A pool
+// without VMs has no cycle: before the adoption of its first VMs a plan would
+// be finished at once.
 func (m *Machine) decidePlans(now time.Time, pool string, owned []structs.Owner) {
+	if len(owned) == 0 {
+		return
+	}
 	for i := range m.set.StopPlans {
 		p := m.set.StopPlans[i]
 		if p.Pool == pool && m.decidePlan(now, p, owned) {
--- a/daemon/controller/poolkeeper/rows.go
+++ b/daemon/controller/poolkeeper/rows.go
@@ -15,11 +15,11 @@
 
 // Values of rows: JSON with the field names as keys, without versions.
 type (
-	absenceValue struct{ Absences []structs.Absence }
+	absenceValue struct{ Absent []structs.Absence }
 	leaseValue   struct {
-		Holder     string
-		Token      uint64
-		DurationMs int64
+		Holder   string
+		Token    uint64
+		Duration time.Duration
 	}
 )
 
@@ -48,7 +48,7 @@
 		add(store.KeyAbsence(r.Pool), r.Version, absenceValue{r.Absences})
 	}
 	if r := c.Lease; r != nil {
-		add(store.KeyLease(r.Pool), r.Version, leaseValue{r.Record.Holder, r.Record.Token, r.Record.Duration.Milliseconds()})
+		add(store.KeyLease(r.Pool), r.Version, leaseValue{r.Record.Holder, r.Record.Token, r.Record.Duration})
 	}
 	if r := c.Plan; r != nil {
 		add(store.KeyPlan(r.Progress.Plan), r.Version, r.Progress)
@@ -91,7 +91,7 @@
 	}
 	r.Leases = append(r.Leases, LeaseRow{
 		Pool: strings.TrimPrefix(row.Key, store.PrefixLease), Version: row.Version,
-		Record: lease.Record{Holder: v.Holder, Token: v.Token, Duration: time.Duration(v.DurationMs) * time.Millisecond},
+		Record: lease.Record{Holder: v.Holder, Token: v.Token, Duration: v.Duration},
 	})
 	return nil
 }
@@ -123,7 +123,7 @@
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return err
 	}
-	r.Absences = append(r.Absences, AbsenceRow{Pool: pool, Version: row.Version, Absences: v.Absences})
+	r.Absences = append(r.Absences, AbsenceRow{Pool: pool, Version: row.Version, Absences: v.Absent})
 	return nil
 }
 
