Test overlapping lease holders and fix two faults they showed

Two machines that both believe to hold every lease run with two operators under lost results; budgets, cut-off requests and the ownership history (porcupine) are checked.

Cause of the two faults found: a VM list that was read before a VM came back from its reboot made the keeper book an unplanned absence for it, and an order for a VM with a recorded absence took no permit. Absences are now booked only from a list that is newer than the knowledge of the row, and orders wait until the absence row is up to date.

--- a/daemon/controller/poolkeeper/orders.go
+++ b/daemon/controller/poolkeeper/orders.go
@@ -74,8 +74,10 @@
 	if !m.up(now) {
 		return Result{Refusal: "the platform is not available"}, true
 	}
-	if !m.free(poolSlot(o.Pool)) {
-		return Result{}, false
+	_, live := m.listed[o.VM]
+	absent := m.absenceOf(o.Pool, o.VM) >= 0
+	if !m.free(poolSlot(o.Pool)) || live == absent {
+		return Result{}, false // the absence row is brought up to date first
 	}
 	if err := m.drainVM(now, o.Owner, p.order.ToPool, orderPlan(p.order), p.id); err != nil {
 		return Result{Refusal: err.Error()}, true
--- a/daemon/controller/poolkeeper/pool.go
+++ b/daemon/controller/poolkeeper/pool.go
@@ -108,7 +108,7 @@
 	state := make(map[string]structs.OwnerState, len(owned))
 	for _, o := range owned {
 		state[o.VM] = o.State
-		if _, live := m.listed[o.VM]; !live && o.State == structs.OwnerActive && m.absenceOf(pool, o.VM) < 0 {
+		if m.missing(o) && m.absenceOf(pool, o.VM) < 0 {
 			list = append(list, structs.Absence{VM: o.VM, Domain: m.domain(o.VM), Since: now})
 		}
 	}
@@ -125,6 +125,14 @@
 	return Change{Slot: poolSlot(pool), Kind: "absences", Absence: &row}, true
 }
 
+// missing reports whether an active VM is not in the VM list. The list must
+// have been read after the VM was known to be active: a list from before shows
+// a VM that has just come back from its reboot as missing.
+func (m *Machine) missing(o structs.Owner) bool {
+	_, live := m.listed[o.VM]
+	return !live && o.State == structs.OwnerActive && m.fleetAt.After(m.owners[o.VM].merged)
+}
+
 // release returns the pool's absence row without the VM.
 func (m *Machine) release(pool, vm string) *AbsenceRow {
 	row := m.absences[pool]
--- /dev/null
+++ b/daemon/controller/poolkeeper/race_test.go
@@ -0,0 +1,160 @@
+package poolkeeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/internal/storetest"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// owned is what a history records of an ownership row.
+type ownedAt struct {
+	epoch uint64
+	pool  string
+	state structs.OwnerState
+}
+
+type ownership struct {
+	vm      string
+	write   bool
+	unknown bool // whether the write took effect is not known
+	row     ownedAt
+}
+
+// record adds the reads and writes of ownership rows to the history.
+func (s *sim) record(result Event, begun time.Time) {
+	add := func(o structs.Owner, write, unknown bool) {
+		end := s.now.UnixNano()
+		if unknown {
+			end = math.MaxInt64
+		}
+		row := ownedAt{epoch: o.Epoch, pool: o.Pool, state: o.State}
+		s.history = append(s.history, porcupine.Operation{
+			Input: ownership{o.VM, write, unknown, row}, Call: begun.UnixNano(), Return: end,
+		})
+	}
+	switch e := result.(type) {
+	case RowsRead:
+		for _, o := range e.Rows.Owners {
+			add(o, false, false)
+		}
+	case Committed:
+		conflict := new(store.ConflictError)
+		if e.Done || (!errors.As(e.Err, &conflict) && !errors.Is(e.Err, store.ErrUnavailable)) {
+			for _, o := range e.Change.Owners {
+				add(o, true, !e.Done)
+			}
+		}
+	}
+}
+
+// ownershipModel is a register for each VM. A write must follow the epoch
+// before it; it may also find its own value, written by another holder that
+// decided the same.
+var ownershipModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byVM := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			vm := op.Input.(ownership).vm
+			byVM[vm] = append(byVM[vm], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byVM {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return ownedAt{} },
+	Step: func(state, input, _ any) (bool, any) {
+		have, op := state.(ownedAt), input.(ownership)
+		switch {
+		case !op.write:
+			return have == op.row, have
+		case have.epoch+1 == op.row.epoch:
+			return true, op.row
+		case have == op.row || op.unknown:
+			return true, have
+		}
+		return false, have
+	},
+}
+
+// Two controllers that both believe to hold every lease, and two operators
+// that order drains at both, must not break a budget, cut off a request or
+// write over each other's changes.
+func TestOverlappingHolders(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			set := testSet()
+			set.StopPlans[0].Every = time.Minute
+			s := newSim(seed, 2, 2, set)
+			s.overlap, s.reboot = true, 3*time.Second
+			s.f.SetFaults(storetest.Faults{LostBefore: 0.03, LostAfter: 0.03})
+			addVMs(s.f, 18)
+			var orders uint64
+			for range 2 {
+				s.every(1500*time.Millisecond, func() {
+					orders++
+					o := Order{ID: fmt.Sprint(orders), VM: fmt.Sprintf("vm%03d", s.rng.IntN(18))}
+					o.ToPool = []string{"", "a", "b", "spare"}[s.rng.IntN(4)]
+					s.deliver(s.nodes[s.rng.IntN(2)], Ordered{ID: orders, Order: o})
+				})
+			}
+			s.run(4*time.Minute, func() bool { return false })
+			require.Empty(t, s.broken)
+			require.Greater(t, s.moves, 20, "too few moves to show anything")
+			require.Greater(t, len(s.f.Reboots()), 5)
+			require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(ownershipModel, s.history, time.Minute))
+		})
+	}
+}
+
+// A process that was paused between the decision and the call must not reboot
+// a VM that is in use again, nor one after the end of its lease.
+func TestRebootChecksRowAndLease(t *testing.T) {
+	ctx := context.Background()
+	f := storetest.New(1)
+	d := &Duty{opts: Options{Platform: f, Timeout: time.Second, Log: hclog.NewNullLogger(), Metrics: metrics.New()}}
+	row := structs.Owner{VM: "v", Pool: "a", State: structs.OwnerRebooting, Epoch: 3}
+	_, err := f.Commit(ctx, Change{Owners: []structs.Owner{row}}.ops())
+	require.NoError(t, err)
+	ahead := time.Now().Add(time.Hour)
+	require.Error(t, d.perform(ctx, Reboot{VM: "v", Epoch: 3, Until: time.Now()}).(Rebooted).Err)
+	require.ErrorIs(t, d.perform(ctx, Reboot{VM: "v", Epoch: 1, Until: ahead}).(Rebooted).Err, errRowChanged)
+	require.Empty(t, f.Reboots())
+	require.NoError(t, d.perform(ctx, Reboot{VM: "v", Epoch: 3, Until: ahead}).(Rebooted).Err)
+	require.Equal(t, map[string]int{"v": 1}, f.Reboots())
+}
+
+// A failure in mid-wave must be counted against the budget and pause the plan;
+// when the VM is back, the plan goes on.
+func TestUnplannedAbsencePausesPlan(t *testing.T) {
+	s := newSim(1, 1, 1, testSet())
+	addVMs(s.f, 18)
+	s.run(25*time.Second, func() bool { return len(s.f.Reboots()) > 0 })
+	lost := s.owned("a")[7]
+	require.Equal(t, structs.OwnerActive, lost.State)
+	s.f.RemoveVM(lost.VM)
+	s.run(40*time.Second, func() bool { return false })
+	m := s.nodes[0].m
+	i := m.absenceOf("a", lost.VM)
+	require.GreaterOrEqual(t, i, 0, "the absence is not recorded")
+	require.False(t, m.absences["a"].Absences[i].Planned)
+	before := len(s.f.Reboots())
+	s.run(5*time.Minute, func() bool { return false })
+	require.Len(t, s.f.Reboots(), before, "a stop began during the pause")
+	s.f.AddVM(m.known[lost.VM])
+	require.True(t, s.run(time.Hour, s.plansFinished("kernel-a")))
+	require.Empty(t, s.broken)
+}
