--- a/daemon/controller/poolkeeper/calls.go
+++ b/daemon/controller/poolkeeper/calls.go
@@ -28,6 +28,9 @@
 		return Confirmed{Confirm: a, InFlight: n, Err: err}
 	case Reboot:
 		return Rebooted{Reboot: a, Err: d.reboot(ctx, a)}
+	case PollDemand:
+		services, err := d.opts.Gateways.Demand(ctx, a.Gateway.Addr)
+		return DemandSeen{Services: services, Err: err}
 	}
 	panic(fmt.Sprintf("poolkeeper: action %T", a))
 }
@@ -41,6 +44,8 @@
 		return Confirmed{Confirm: a, Err: err}
 	case Reboot:
 		return Rebooted{Reboot: a, Err: err}
+	case PollDemand:
+		return DemandSeen{Err: err}
 	}
 	return RowsRead{Err: err}
 }
--- a/daemon/controller/poolkeeper/duty.go
+++ b/daemon/controller/poolkeeper/duty.go
@@ -18,6 +18,7 @@
 // one. Each call must end within a deadline of its own.
 type Gateways interface {
 	ConfirmDrain(ctx context.Context, addr, vm string, epoch uint64) (inFlight int, err error)
+	Demand(ctx context.Context, addr string) ([]structs.ServiceDemand, error)
 }
 
 // Options configures the duty.
--- a/daemon/controller/poolkeeper/duty_test.go
+++ b/daemon/controller/poolkeeper/duty_test.go
@@ -25,6 +25,8 @@
 
 func (idleGateways) ConfirmDrain(context.Context, string, string, uint64) (int, error) { return 0, nil }
 
+func (idleGateways) Demand(context.Context, string) ([]structs.ServiceDemand, error) { return nil, nil }
+
 func testConfig(id string) Config {
 	return Config{
 		ID: id, LeaseDuration: 400 * time.Millisecond, Reconcile: 20 * time.Millisecond,
--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -18,6 +18,7 @@
 	DrainTimeout  time.Duration // of moves and of operators' drains
 	RebootTimeout time.Duration // of operators' reboots
 	PauseFor      time.Duration // an unplanned absence pauses stop plans for this long
+	DemandPoll    time.Duration // interval of the gateways' demand reports; 0: pools have their configured targets
 	AdoptBatch    int           // VMs adopted in one transaction
 	Buffer        buffer.Config
 }
@@ -78,6 +79,8 @@
 	planned time.Time      // last time that adoption and moves were decided
 	targets map[string]int // by demand; a pool without an entry has its configured target
 
+	demand demandState
+
 	out []Action
 }
 
@@ -120,6 +123,8 @@
 		m.confirmed(now, e)
 	case Rebooted:
 		m.rebooted(now, e)
+	case DemandSeen:
+		m.demandSeen(e)
 	case Ordered:
 		m.ordered(e)
 	}
@@ -174,6 +179,7 @@
 	}
 	if m.up(now) && m.holds(now, m.coordinator()) && now.Sub(m.planned) >= m.cfg.Reconcile/2 {
 		m.planned = now
+		m.pollDemand(now)
 		m.adopt()
 		m.planMoves(now)
 	}
--- a/daemon/controller/poolkeeper/machine_test.go
+++ b/daemon/controller/poolkeeper/machine_test.go
@@ -89,3 +89,27 @@
 	require.Empty(t, s.broken)
 	require.NotEmpty(t, s.f.Rows(store.PrefixPlan))
 }
+
+// A rise of the demand must bring VMs from the spare pool into the pool, up to
+// its Max, and a lasting fall must bring them back, down to its Min.
+func TestPoolFollowsDemand(t *testing.T) {
+	set := testSet()
+	set.StopPlans = nil
+	set.Services = []structs.Service{{Name: "quote", Pool: "b"}, {Name: "tally", Pool: "b"}}
+	s := newSim(1, 2, 2, set)
+	addVMs(s.f, 18)
+	report := func(inFlight int) {
+		s.demand = []structs.ServiceDemand{
+			{Service: "quote", Arrived: 100, Served: 100, InFlight: inFlight},
+			{Service: "tally", Arrived: 100, Served: 100, InFlight: inFlight},
+		}
+	}
+	has := func(n int) func() bool { return func() bool { return len(s.owned("b")) == n } }
+	report(7) // 2 gateways with 14 slots each; 28 slots are 5 VMs at 80%
+	require.True(t, s.run(time.Minute, has(5)))
+	report(13)
+	require.True(t, s.run(5*time.Minute, has(9)), "has %d", len(s.owned("b")))
+	report(0)
+	require.True(t, s.run(30*time.Minute, has(2)), "has %d", len(s.owned("b")))
+	require.Empty(t, s.broken)
+}
--- a/daemon/controller/poolkeeper/sim_test.go
+++ b/daemon/controller/poolkeeper/sim_test.go
@@ -34,8 +34,9 @@
 	onReboot func(vm string)
 	replies  map[uint64]Result
 	broken   []string // invariants that did not hold
-	overlap  bool     // every node believes to hold all leases, all the time
-	moves    int      // VMs that changed their pool
+	demand   []structs.ServiceDemand
+	overlap  bool // every node believes to hold all leases, all the time
+	moves    int  // VMs that changed their pool
 	history  []porcupine.Operation
 	pools    map[string]string // VM: pool, as last written
 }
@@ -85,7 +86,7 @@
 	s.f.OnCommit(s.check)
 	for i := range gateways {
 		g := &gateway{
-			member: structs.Member{ID: fmt.Sprintf("g%d", i), Role: structs.RoleGateway, Addr: fmt.Sprintf("g%d", i)},
+			member:  structs.Member{ID: fmt.Sprintf("g%d", i), Role: structs.RoleGateway, Addr: fmt.Sprintf("g%d", i)},
 			stopped: map[string]uint64{}, inFlight: map[string]int{},
 		}
 		s.gateways = append(s.gateways, g)
@@ -107,6 +108,7 @@
 	cfg := testConfig(id)
 	cfg.LeaseDuration, cfg.Reconcile, cfg.RowLifetime = 10*time.Second, time.Second, 30*time.Second
 	cfg.DrainTimeout, cfg.RebootTimeout, cfg.PauseFor = 20*time.Second, 2*time.Minute, 10*time.Minute
+	cfg.DemandPoll = 2 * time.Second
 	cfg.Buffer = buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: time.Minute, Group: 5 * time.Second, MaxMoves: 8}
 	n := &node{id: id, m: NewMachine(cfg)}
 	n.d = &Duty{opts: Options{Timeout: time.Minute, Platform: simPlatform{s.f, s}, Gateways: s, Log: hclog.NewNullLogger(), Metrics: metrics.New()}}
@@ -259,6 +261,9 @@
 	return 0, context.DeadlineExceeded
 }
 
+// Demand implements Gateways.
+func (s *sim) Demand(context.Context, string) ([]structs.ServiceDemand, error) { return s.demand, nil }
+
 func (s *sim) writeRow(g *gateway) {
 	if !g.dead {
 		put := store.Op{Kind: store.OpPut, Key: store.KeyMember(g.member.ID), Value: encode(g.member)}
