--- a/daemon/controller/poolkeeper/race_test.go
+++ b/daemon/controller/poolkeeper/race_test.go
@@ -158,3 +158,23 @@
 	require.True(t, s.run(time.Hour, s.plansFinished("kernel-a")))
 	require.Empty(t, s.broken)
 }
+
+// A lost result must be settled by reading back: an operator must not be told
+// that an order was refused when it was carried out.
+func TestLostResultIsReadBack(t *testing.T) {
+	ctx := context.Background()
+	f := storetest.New(1)
+	d := &Duty{opts: Options{Platform: f, Timeout: time.Second, Log: hclog.NewNullLogger(), Metrics: metrics.New()}}
+	change := Change{Owners: []structs.Owner{{VM: "v", Pool: "a", Epoch: 1}}, Absence: &AbsenceRow{Pool: "a"}}
+	f.SetFaults(storetest.Faults{LostBefore: 1})
+	require.False(t, d.perform(ctx, change).(Committed).Done)
+	f.SetFaults(storetest.Faults{LostAfter: 1})
+	result := d.perform(ctx, change).(Committed)
+	require.True(t, result.Done)
+	require.Equal(t, []uint64{1, 2}, result.Versions)
+	// Another holder has written the rows since: the change was not made.
+	f.SetFaults(storetest.Faults{LostBefore: 1})
+	change.Owners[0].Version, change.Absence.Version = 1, 2
+	change.Owners[0].Epoch = 2
+	require.False(t, d.perform(ctx, change).(Committed).Done)
+}
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -5,6 +5,13 @@
 // or relayed, suspects it, tells the others, and declares it dead only after a
 // second period. Any evidence of a later beat ends a suspicion. A process
 // that was declared dead by mistake refutes this with a higher incarnation.
+//
+// With LocalHealth, a process whose own timer fires late or whose heartbeats
+// stay unanswered waits longer before it suspects others, as in Dadgar,
+// Phillips and Currey, "Lifeguard: Local Health Awareness for More Accurate
+// Failure Detection" (2018). BenchmarkSlowObserver compares this with the
+// plain view.
+//
 // The clock is an argument of each call, and a View is owned by one goroutine.
 package membership
 
