Add the platform stand-in and the adapter to the platform

Cause: gateways and controllers need a platform to run against, and the at-most-once rule depends on how its failures are told apart. Ruled out: fasthttp's HostClient.Do, which repeats GET and PUT calls and does not say whether bytes were written; its connection pool is kept and package roundtrip makes the exchange itself.

--- /dev/null
+++ b/peer/internal/roundtrip/roundtrip.go
@@ -0,0 +1,238 @@
+// Package roundtrip makes one HTTP exchange over fasthttp's connection pool
+// and reports exactly how it failed. fasthttp's own client repeats requests on
+// some failures and does not tell whether bytes were written; both matter
+// here, since a request that may have run must not be repeated.
+package roundtrip
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Upper bound of a connection attempt; calls with less time left use less.
+const maxDial = 5 * time.Second
+
+// Interim (1xx) answers accepted before the final one.
+const maxInterim = 4
+
+// HeaderRequestID carries the request id in both directions at every hop.
+const HeaderRequestID = "X-Request-Id"
+
+// Errors of an exchange, wrapped in a Failure.
+var (
+	// ErrNoLength: the answer's end is marked only by the end of the
+	// connection, so a cut answer looks like a whole one.
+	ErrNoLength = errors.New("answer has neither a length nor chunks")
+	// ErrCrossed: the answer carries another request's id, or none.
+	ErrCrossed = errors.New("answer belongs to another request")
+	// ErrDeadline: no time was left before anything was sent.
+	ErrDeadline = errors.New("deadline passed before the request was sent")
+)
+
+// Options bounds the connections to one host.
+type Options struct {
+	MaxConns   int
+	MaxAge     time.Duration // older connections are replaced; 0 means no bound
+	MaxIdle    time.Duration // longer idle connections are closed
+	MaxWait    time.Duration // for a free connection; 0 means that a call fails at once
+	MaxBody    int           // bytes of an answer
+	BufferSize int           // bytes of each connection's read and write buffer; 0 means fasthttp's default
+}
+
+// Host is a bounded pool of connections to one address. It is safe for
+// concurrent use.
+type Host struct {
+	hc  fasthttp.HostClient
+	opt Options
+}
+
+// NewHost returns a pool for addr (IP:port) without opening a connection.
+func NewHost(addr string, opt Options) *Host {
+	return &Host{opt: opt, hc: fasthttp.HostClient{
+		Addr:                addr,
+		DialTimeout:         dial,
+		MaxConns:            opt.MaxConns,
+		MaxIdleConnDuration: opt.MaxIdle,
+		MaxConnWaitTimeout:  opt.MaxWait,
+		ReadBufferSize:      opt.BufferSize,
+		WriteBufferSize:     opt.BufferSize,
+		// The most recently used connection is the least likely to be dead.
+		ConnPoolStrategy: fasthttp.LIFO,
+	}}
+}
+
+// Addr returns the address of the host.
+func (h *Host) Addr() string { return h.hc.Addr }
+
+// SetMaxConns changes the bound on open connections.
+func (h *Host) SetMaxConns(n int) { h.hc.SetMaxConns(n) }
+
+// Conns returns the number of open connections.
+func (h *Host) Conns() int { return h.hc.ConnsCount() }
+
+// CloseIdle closes the connections that no exchange uses.
+func (h *Host) CloseIdle() { h.hc.CloseIdleConnections() }
+
+// Failure is the error of Do.
+type Failure struct {
+	Written bool // at least one byte of the request was given to the connection
+	Timeout bool
+	Refused bool // the host refused the connection
+	Err     error
+}
+
+// Error returns the cause and how far the exchange got.
+func (f *Failure) Error() string {
+	if f.Written {
+		return fmt.Sprintf("after the request was sent: %v", f.Err)
+	}
+	return fmt.Sprintf("before the request was sent: %v", f.Err)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Request  *fasthttp.Request // Host and RequestURI set, the latter a path
+	Response *fasthttp.Response
+	ID       string // must come back in HeaderRequestID; empty means no check
+	Deadline time.Time
+	// UnnamedRefusal accepts a 429 or 503 without an id if it is the first
+	// answer on its connection: a host that refuses before it reads the
+	// request cannot name it, and no earlier answer can be in the way.
+	UnnamedRefusal bool
+}
+
+// Do performs the exchange once. The response holds a whole body when it
+// returns nil. A connection that failed in any way is closed.
+func (h *Host) Do(x *Exchange) *Failure {
+	left := time.Until(x.Deadline)
+	if left <= 0 {
+		return &Failure{Timeout: true, Err: ErrDeadline}
+	}
+	x.Request.Header.Set(HeaderRequestID, x.ID)
+	for {
+		cc, err := h.hc.AcquireConn(left, false)
+		if err != nil {
+			return notSent(err)
+		}
+		c := cc.Conn().(*conn)
+		fresh := cc.LastUseTime().IsZero()
+		if err := c.SetDeadline(x.Deadline); err != nil {
+			h.hc.CloseConn(cc)
+			return notSent(err)
+		}
+		if !fresh && (h.tooOld(cc.CreatedTime()) || c.stale()) {
+			h.hc.CloseConn(cc)
+			continue // ends: each turn takes one connection out of the bounded pool
+		}
+		reusable, err := h.exchange(c, x, fresh)
+		if err == nil && reusable {
+			h.hc.ReleaseConn(cc)
+			return nil
+		}
+		if err == nil {
+			h.hc.CloseConn(cc)
+			return nil
+		}
+		f := &Failure{Written: c.written > 0, Timeout: isTimeout(err), Err: err}
+		silent := f.Timeout && !fresh && c.read == 0
+		h.hc.CloseConn(cc)
+		if silent {
+			// When one open connection went silent, the others usually did
+			// too; each of them would cost a request its deadline.
+			h.hc.CloseIdleConnections()
+		}
+		return f
+	}
+}
+
+func (h *Host) tooOld(created time.Time) bool {
+	return h.opt.MaxAge > 0 && time.Since(created) > h.opt.MaxAge
+}
+
+func notSent(err error) *Failure {
+	return &Failure{Timeout: isTimeout(err), Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &ne) && ne.Timeout()
+}
+
+func (h *Host) exchange(c *conn, x *Exchange, fresh bool) (reusable bool, err error) {
+	c.written, c.read = 0, 0
+	bw := h.hc.AcquireWriter(c)
+	err = x.Request.Write(bw)
+	if err == nil {
+		err = bw.Flush()
+	}
+	h.hc.ReleaseWriter(bw)
+	if err != nil {
+		return false, err
+	}
+	br := h.hc.AcquireReader(c)
+	defer h.hc.ReleaseReader(br)
+	if err := readAnswer(br, x.Response, h.opt.MaxBody); err != nil {
+		return false, err
+	}
+	if err := x.checkID(fresh); err != nil {
+		return false, err
+	}
+	// Bytes behind the answer belong to no request of this connection.
+	return !x.Response.ConnectionClose() && !x.Request.ConnectionClose() && br.Buffered() == 0, nil
+}
+
+func (x *Exchange) checkID(fresh bool) error {
+	if x.ID == "" {
+		return nil
+	}
+	got := x.Response.Header.Peek(HeaderRequestID)
+	if string(got) == x.ID {
+		return nil
+	}
+	if len(got) == 0 && fresh && x.UnnamedRefusal && refusal(x.Response.StatusCode()) {
+		return nil
+	}
+	return fmt.Errorf("%w: want id %q, got %q", ErrCrossed, x.ID, got)
+}
+
+func refusal(status int) bool {
+	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
+}
+
+func readAnswer(br *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
+	for i := 0; ; i++ {
+		if err := resp.Header.Read(br); err != nil {
+			return err
+		}
+		status := resp.StatusCode()
+		if status >= 200 {
+			break
+		}
+		if i == maxInterim || status == fasthttp.StatusSwitchingProtocols {
+			return fmt.Errorf("no final answer, last status %d", status)
+		}
+	}
+	if s := resp.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length < -1 {
+		return ErrNoLength
+	}
+	if err := resp.ReadBody(br, maxBody); err != nil {
+		return err
+	}
+	if length == -1 {
+		return resp.Header.ReadTrailer(br)
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/platform/client_test.go
@@ -0,0 +1,181 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	peer "github.com/carobwharf/carobwharf/peer/platform"
+	"github.com/carobwharf/carobwharf/standin/platform"
+	"github.com/carobwharf/carobwharf/standin/units"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+const short = 100 * time.Millisecond // deadline of calls that must time out
+
+func start(t testing.TB, cfg platform.Config) (*platform.Server, *peer.Client) {
+	t.Helper()
+	s := platform.New(cfg)
+	require.NoError(t, s.Start())
+	c := peer.New(peer.Options{Addr: s.Addr(), Timeout: 10 * time.Second})
+	t.Cleanup(func() {
+		c.Close()
+		require.NoError(t, s.Stop(context.Background()))
+	})
+	return s, c
+}
+
+func insert(key string) []store.Op {
+	return []store.Op{{Kind: store.OpInsert, Key: key, Value: []byte(`{"a":1}`)}}
+}
+
+// A condition that is checked wrongly lets two processes own the same row.
+func TestCommitFollowsTheContract(t *testing.T) {
+	_, c := start(t, platform.DefaultConfig())
+	ctx := context.Background()
+	steps := []struct {
+		name     string
+		ops      []store.Op
+		versions []uint64
+		conflict []string
+	}{
+		{"insert", []store.Op{{Kind: store.OpInsert, Key: "a"}, {Kind: store.OpInsert, Key: "b"}}, []uint64{1, 1}, nil},
+		{"insert an existing row", []store.Op{{Kind: store.OpInsert, Key: "c"}, {Kind: store.OpInsert, Key: "a"}}, nil, []string{"a"}},
+		{"check absent and update", []store.Op{{Kind: store.OpCheck, Key: "c"}, {Kind: store.OpUpdate, Key: "a", Expect: 1}}, []uint64{0, 2}, nil},
+		{"check twice", []store.Op{{Kind: store.OpCheck, Key: "a", Expect: 2}, {Kind: store.OpCheck, Key: "a", Expect: 2}, {Kind: store.OpPut, Key: "b"}}, []uint64{0, 0, 2}, nil},
+		{"update an old version", []store.Op{{Kind: store.OpUpdate, Key: "a", Expect: 1}, {Kind: store.OpUpdate, Key: "b", Expect: 1}}, nil, []string{"a", "b"}},
+		{"same key twice", []store.Op{{Kind: store.OpInsert, Key: "d"}, {Kind: store.OpInsert, Key: "d"}}, nil, []string{"d"}},
+		{"delete", []store.Op{{Kind: store.OpDelete, Key: "a", Expect: 2}}, []uint64{0}, nil},
+		{"insert after delete", []store.Op{{Kind: store.OpInsert, Key: "a"}}, []uint64{3}, nil},
+	}
+	for _, s := range steps {
+		versions, err := c.Commit(ctx, s.ops)
+		if s.conflict == nil {
+			require.NoError(t, err, s.name)
+		} else {
+			var conflict *store.ConflictError
+			require.ErrorAs(t, err, &conflict, s.name)
+			require.Equal(t, s.conflict, conflict.Keys, s.name)
+		}
+		require.Equal(t, s.versions, versions, s.name)
+	}
+	_, err := c.Get(ctx, "c")
+	require.ErrorIs(t, err, store.ErrNotFound, "a refused transaction must leave nothing behind")
+}
+
+func TestScanObjectsAndVMs(t *testing.T) {
+	cfg := platform.DefaultConfig()
+	cfg.Faults = platform.Faults{}
+	cfg.VMs = []structs.VM{{ID: "vm-2"}, {ID: "vm-1", Addr: "127.0.0.1:1", Slots: 8}}
+	_, c := start(t, cfg)
+	ctx := context.Background()
+	var ops []store.Op
+	for _, k := range []string{"p/b", "p/a", "p", "q", "p/c&d=é"} {
+		ops = append(ops, store.Op{Kind: store.OpInsert, Key: k, Value: []byte(k)})
+	}
+	_, err := c.Commit(ctx, ops)
+	require.NoError(t, err)
+	rows, err := c.Scan(ctx, "p/", "p/a", 10)
+	require.NoError(t, err)
+	require.Equal(t, []store.Row{{Key: "p/b", Version: 1, Value: []byte("p/b")}, {Key: "p/c&d=é", Version: 1, Value: []byte("p/c&d=é")}}, rows)
+
+	require.NoError(t, c.PutObject(ctx, "config/1", []byte("content")))
+	data, err := c.GetObject(ctx, "config/1")
+	require.NoError(t, err)
+	require.Equal(t, "content", string(data))
+	_, err = c.GetObject(ctx, "config/2")
+	require.ErrorIs(t, err, store.ErrNotFound)
+
+	vms, err := c.ListVMs(ctx)
+	require.NoError(t, err)
+	require.Equal(t, "vm-1", vms[0].ID)
+	require.Equal(t, 8, vms[0].Slots)
+	require.NoError(t, c.RebootVM(ctx, "vm-1"))
+	vms, err = c.ListVMs(ctx)
+	require.NoError(t, err)
+	require.Len(t, vms, 1, "a rebooting VM must leave the list")
+}
+
+// A write that may have applied must never be reported as unchanged, or a
+// request is reported as not run although it runs.
+func TestFailuresMapToTheContract(t *testing.T) {
+	cases := []struct {
+		name    string
+		faults  platform.Faults
+		want    error
+		applied bool
+	}{
+		{"answer lost", platform.Faults{LoseAnswer: 1}, store.ErrUnknown, true},
+		{"answer late", platform.Faults{Delay: units.Duration(time.Second)}, store.ErrUnknown, true},
+		{"frozen", platform.Faults{Freeze: true}, store.ErrUnknown, false},
+		{"refused", platform.Faults{RefuseWrite: 1}, store.ErrUnavailable, false},
+		{"outage", platform.Faults{Outage: true}, store.ErrUnavailable, false},
+		{"rate limit", platform.Faults{WriteRate: 1e-9}, store.ErrUnavailable, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, c := start(t, platform.DefaultConfig())
+			s.SetFaults(tc.faults)
+			if tc.faults.WriteRate > 0 { // takes the one token in the bucket
+				_, err := c.Commit(context.Background(), insert("first"))
+				require.NoError(t, err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), short)
+			defer cancel()
+			_, err := c.Commit(ctx, insert("k"))
+			require.ErrorIs(t, err, tc.want)
+			require.Equal(t, tc.want == store.ErrUnavailable, errors.Is(err, store.ErrUnavailable))
+			require.Equal(t, tc.applied, len(s.Rows("k")) == 1)
+		})
+	}
+}
+
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	s := platform.New(platform.DefaultConfig())
+	require.NoError(t, s.Start())
+	require.NoError(t, s.Stop(context.Background()))
+	c := peer.New(peer.Options{Addr: s.Addr()})
+	_, err := c.Commit(context.Background(), insert("k"))
+	require.ErrorIs(t, err, store.ErrUnavailable)
+}
+
+// A call held by a frozen platform takes effect after its caller gave up;
+// callers that treat the timeout as a refusal run such work twice.
+func TestFrozenCallsApplyAfterRelease(t *testing.T) {
+	s, c := start(t, platform.DefaultConfig())
+	s.SetFaults(platform.Faults{Freeze: true})
+	ctx, cancel := context.WithTimeout(context.Background(), short)
+	defer cancel()
+	_, err := c.Commit(ctx, insert("k"))
+	require.ErrorIs(t, err, store.ErrUnknown)
+	s.SetFaults(platform.DefaultFaults())
+	require.Len(t, s.Rows("k"), 1)
+}
+
+// Connections that went silent must not be used again after the first
+// timeout, even idle ones that have not failed themselves.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	s, c := start(t, platform.DefaultConfig())
+	done := make(chan error, 4)
+	s.SetFaults(platform.Faults{Delay: units.Duration(short)})
+	for range cap(done) { // concurrent calls, so that several connections are open
+		go func() {
+			_, err := c.Scan(context.Background(), "k", "", 1)
+			done <- err
+		}()
+	}
+	for range cap(done) {
+		require.NoError(t, <-done)
+	}
+	s.SetFaults(platform.Faults{Silence: true})
+	ctx, cancel := context.WithTimeout(context.Background(), short)
+	defer cancel()
+	_, err := c.Commit(ctx, insert("k"))
+	require.ErrorIs(t, err, store.ErrUnknown)
+	_, err = c.Commit(context.Background(), insert("k"))
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/peer/platform/table.go
@@ -0,0 +1,97 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/peer/platform/wire"
+	"github.com/carobwharf/carobwharf/store"
+)
+
+// Get returns the row, or store.ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (store.Row, error) {
+	var row wire.Row
+	err := c.do(ctx, &call{
+		method: fasthttp.MethodGet, path: wire.PathRow,
+		args: [3][2]string{{"key", key}},
+	}, func(body []byte) error {
+		if err := json.Unmarshal(body, &row); err != nil {
+			return err
+		}
+		if row.Key != key {
+			return fmt.Errorf("asked for row %q, got %q", key, row.Key)
+		}
+		return nil
+	})
+	return store.Row(row), err
+}
+
+// Scan returns at most limit rows with the prefix after the given key.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	var rows wire.Rows
+	err := c.do(ctx, &call{
+		method: fasthttp.MethodGet, path: wire.PathScan,
+		args: [3][2]string{{"prefix", prefix}, {"after", after}, {"limit", strconv.Itoa(limit)}},
+	}, func(body []byte) error {
+		return json.Unmarshal(body, &rows)
+	})
+	if err != nil {
+		return nil, err
+	}
+	out := make([]store.Row, len(rows.Rows))
+	for i, r := range rows.Rows {
+		out[i] = store.Row(r)
+	}
+	return out, nil
+}
+
+// Commit applies all operations or none.
+func (c *Client) Commit(ctx context.Context, ops []store.Op) ([]uint64, error) {
+	body, err := wire.EncodeOps(ops)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", wire.PathCommit, store.ErrUnavailable, err)
+	}
+	var done wire.Committed
+	err = c.do(ctx, &call{method: fasthttp.MethodPost, path: wire.PathCommit, json: body, writes: true}, func(body []byte) error {
+		if err := json.Unmarshal(body, &done); err != nil {
+			return err
+		}
+		if len(done.Versions) != len(ops) {
+			return fmt.Errorf("%d versions for %d operations", len(done.Versions), len(ops))
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return done.Versions, nil
+}
+
+// PutObject stores an immutable object.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	if data == nil {
+		data = []byte{}
+	}
+	return c.do(ctx, &call{
+		method: fasthttp.MethodPut, path: wire.PathObject, raw: data, writes: true,
+		args: [3][2]string{{"name", name}},
+	}, nil)
+}
+
+// GetObject returns an object, or store.ErrNotFound.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	err := c.do(ctx, &call{
+		method: fasthttp.MethodGet, path: wire.PathObject,
+		args: [3][2]string{{"name", name}},
+	}, func(body []byte) error {
+		data = bytes.Clone(body)
+		return nil
+	})
+	return data, err
+}
--- /dev/null
+++ b/standin/platform/operations.go
@@ -0,0 +1,152 @@
+package platform
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/peer/platform/wire"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+const (
+	statusUnavailable = fasthttp.StatusServiceUnavailable
+	statusTooMany     = fasthttp.StatusTooManyRequests
+)
+
+func ok(v any) reply { return reply{status: fasthttp.StatusOK, json: v} }
+
+func problem(status int, text string, keys ...string) reply {
+	return reply{status: status, json: wire.Problem{Error: text, Keys: keys}}
+}
+
+type getRow struct{ key string }
+
+func (o getRow) apply(s *state) reply {
+	row, found := s.table.get(o.key)
+	if !found {
+		return problem(fasthttp.StatusNotFound, "no such row")
+	}
+	return ok(wire.Row(row))
+}
+
+type scanRows struct {
+	prefix, after string
+	limit         int
+}
+
+func (o scanRows) apply(s *state) reply {
+	rows := s.table.scan(o.prefix, o.after, o.limit)
+	out := wire.Rows{Rows: make([]wire.Row, len(rows))}
+	for i, r := range rows {
+		out.Rows[i] = wire.Row(r)
+	}
+	return ok(out)
+}
+
+type commitOps struct{ ops []store.Op }
+
+func (o commitOps) apply(s *state) reply {
+	versions, conflicts := s.table.commit(o.ops)
+	if len(conflicts) > 0 {
+		s.counts.Conflicts++
+		return problem(fasthttp.StatusConflict, "condition failed", conflicts...)
+	}
+	return ok(wire.Committed{Versions: versions})
+}
+
+type putObject struct {
+	name string
+	data []byte
+}
+
+// Objects are immutable: the first content of a name stays.
+func (o putObject) apply(s *state) reply {
+	if _, exists := s.objects[o.name]; !exists {
+		s.objects[o.name] = o.data
+	}
+	return ok(struct{}{})
+}
+
+type getObject struct{ name string }
+
+func (o getObject) apply(s *state) reply {
+	data, found := s.objects[o.name]
+	if !found {
+		return problem(fasthttp.StatusNotFound, "no such object")
+	}
+	return reply{status: fasthttp.StatusOK, raw: data}
+}
+
+type listVMs struct{}
+
+func (listVMs) apply(s *state) reply {
+	return ok(s.fleet.list(s.now().Add(-time.Duration(s.faults.VMLag))))
+}
+
+type rebootVM struct{ id string }
+
+func (o rebootVM) apply(s *state) reply {
+	if !s.fleet.reboot(o.id, s.now(), s.cfg.RebootTime) {
+		return problem(fasthttp.StatusNotFound, "no such VM")
+	}
+	if s.cfg.OnReboot != nil {
+		s.cfg.OnReboot(o.id, s.cfg.RebootTime)
+	}
+	return ok(struct{}{})
+}
+
+type setVMs struct{ vms []structs.VM }
+
+func (o setVMs) apply(s *state) reply {
+	s.fleet.set(o.vms, s.now())
+	return ok(struct{}{})
+}
+
+type replaceFaults struct{ faults Faults }
+
+func (o replaceFaults) apply(s *state) reply {
+	s.setFaults(o.faults)
+	return ok(s.faults)
+}
+
+type mergeFaults struct{ body []byte }
+
+func (o mergeFaults) apply(s *state) reply {
+	f, err := s.faults.merge(o.body)
+	if err != nil {
+		return problem(fasthttp.StatusBadRequest, err.Error())
+	}
+	s.setFaults(f)
+	return ok(s.faults)
+}
+
+type readFaults struct{}
+
+func (readFaults) apply(s *state) reply { return ok(s.faults) }
+
+// Snapshot is the answer to GET /state.
+type Snapshot struct {
+	Rows    int       `json:"rows"`
+	Objects []string  `json:"objects"`
+	VMs     int       `json:"vms"`
+	Counts  Counts    `json:"counts"`
+	Faults  Faults    `json:"faults"`
+	At      time.Time `json:"at"`
+}
+
+type readState struct{}
+
+func (readState) apply(s *state) reply {
+	return ok(Snapshot{
+		Rows:    len(s.table.cells),
+		Objects: slices.Sorted(maps.Keys(s.objects)),
+		VMs:     len(s.fleet.list(s.now())),
+		Counts:  s.counts,
+		Faults:  s.faults,
+		At:      s.now(),
+	})
+}
--- /dev/null
+++ b/standin/platform/state.go
@@ -0,0 +1,165 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/carobwharf/carobwharf/ring"
+)
+
+// class tells which faults and limits apply to a call.
+type class int
+
+const (
+	control class = iota // no faults, no limits
+	read
+	write
+)
+
+// operation is a decoded call. apply runs on the state duty only.
+type operation interface {
+	apply(s *state) reply
+}
+
+// reply is what a handler sends back.
+type reply struct {
+	status int
+	json   any    // encoded by the handler
+	raw    []byte // body instead of json
+	lose   bool   // close the connection without an answer
+	delay  time.Duration
+}
+
+type call struct {
+	class class
+	op    operation
+	reply chan reply // capacity 1
+}
+
+// Calls held while frozen; more are dropped without an answer.
+const maxHeld = 4096
+
+// Counts are totals since the start.
+type Counts struct {
+	Reads       int64 `json:"reads"`
+	Writes      int64 `json:"writes"`
+	Limited     int64 `json:"limited"` // refused by a rate limit
+	Refused     int64 `json:"refused"` // refused by outage or refuse_write
+	LostAnswers int64 `json:"lost_answers"`
+	Held        int64 `json:"held"` // held by freeze
+	Conflicts   int64 `json:"conflicts"`
+}
+
+// state is everything that the platform keeps. One duty owns it.
+type state struct {
+	cfg     Config
+	faults  Faults
+	table   *table
+	objects map[string][]byte
+	fleet   fleet
+	rng     *rand.Rand
+	reads   bucket
+	writes  bucket
+	held    []call
+	counts  Counts
+	now     func() time.Time
+	// silentBefore is the time in ns since the epoch up to which connections
+	// were opened that never answer again. Handlers read it.
+	silentBefore *atomic.Int64
+}
+
+func newState(cfg Config, silentBefore *atomic.Int64) *state {
+	s := &state{
+		cfg:          cfg,
+		faults:       cfg.Faults,
+		table:        newTable(),
+		objects:      make(map[string][]byte),
+		rng:          rand.New(rand.NewPCG(cfg.Seed, 1)),
+		now:          time.Now,
+		silentBefore: silentBefore,
+	}
+	s.fleet.set(cfg.VMs, time.Time{})
+	return s
+}
+
+// run serves calls until ctx ends.
+func (s *state) run(ctx context.Context, calls *ring.Ring[call]) error {
+	for {
+		select {
+		case c := <-calls.C():
+			s.serve(c)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *state) serve(c call) {
+	if c.class == control {
+		c.reply <- c.op.apply(s)
+		return
+	}
+	if s.faults.Freeze {
+		s.hold(c)
+		return
+	}
+	if refusal, refused := s.refuse(c.class); refused {
+		c.reply <- refusal
+		return
+	}
+	r := c.op.apply(s)
+	r.delay = time.Duration(s.faults.Delay)
+	if c.class == write && s.chance(s.faults.LoseAnswer) {
+		r.lose = true
+		s.counts.LostAnswers++
+	}
+	c.reply <- r
+}
+
+func (s *state) hold(c call) {
+	if len(s.held) < maxHeld {
+		s.held = append(s.held, c)
+		s.counts.Held++
+	}
+}
+
+// refuse decides whether the call is answered without being executed.
+func (s *state) refuse(c class) (reply, bool) {
+	if s.faults.Outage || c == write && s.chance(s.faults.RefuseWrite) {
+		s.counts.Refused++
+		return problem(statusUnavailable, "platform unavailable"), true
+	}
+	limit, rate, count := &s.reads, s.faults.ReadRate, &s.counts.Reads
+	if c == write {
+		limit, rate, count = &s.writes, s.faults.WriteRate, &s.counts.Writes
+	}
+	if !limit.take(rate, s.now()) {
+		s.counts.Limited++
+		return problem(statusTooMany, "rate limit"), true
+	}
+	*count++
+	return reply{}, false
+}
+
+func (s *state) chance(p float64) bool { return p > 0 && s.rng.Float64() < p }
+
+// setFaults puts new switches into force.
+func (s *state) setFaults(f Faults) {
+	if f.Silence && !s.faults.Silence {
+		s.silentBefore.Store(s.now().UnixNano())
+	}
+	if !f.Silence {
+		s.silentBefore.Store(0)
+	}
+	s.faults = f
+	if f.Freeze {
+		return
+	}
+	held := s.held
+	s.held = nil
+	for _, c := range held {
+		s.serve(c)
+	}
+}
