--- /dev/null
+++ b/peer/endpoint/client.go
@@ -0,0 +1,210 @@
+// Package endpoint calls endpoints over HTTP. Each call is made exactly once:
+// repeating it is the dispatcher's decision.
+//
+// A result says what is certain about the request. EndpointNotReached means
+// that no byte of it was written. An answer counts only if it is whole and
+// carries the request's own id; a connection that failed, timed out or
+// carried anything unexpected is closed.
+package endpoint
+
+import (
+	"context"
+	"maps"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/peer/endpoint/wire"
+	"github.com/carobwharf/carobwharf/peer/internal/roundtrip"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Options configures New. Zero fields get defaults.
+type Options struct {
+	ConnIdle time.Duration // idle connections are closed after this; 30 s
+	ConnAge  time.Duration // older connections are replaced; 5 min
+	MaxBody  int           // bytes of an answer; 4 MiB
+	Timeout  time.Duration // of a request without a deadline; 5 s
+}
+
+// Client calls endpoints. It is safe for concurrent use.
+type Client struct {
+	opt   Options
+	share atomic.Pointer[share]
+	// hosts is an immutable map that is replaced as a whole; VMs change
+	// rarely and calls read it without waiting.
+	hosts atomic.Pointer[hostMap]
+}
+
+// hostMap has the connections of each VM.
+type hostMap map[string]*host
+
+type host struct {
+	*roundtrip.Host
+	conns int // of all processes together, as in structs.VM
+}
+
+// share is this process's part of each endpoint's connections.
+type share struct{ rank, processes int }
+
+// of returns the connections that the process may open to an endpoint that
+// takes n. Every process gets at least one, or it could not use the endpoint.
+func (s share) of(n int) int {
+	part := n / s.processes
+	if s.rank < n%s.processes {
+		part++
+	}
+	return max(part, 1)
+}
+
+// New returns a client without connections. Until SetShare is called, the
+// process uses all connections of an endpoint.
+func New(o Options) *Client {
+	setDefault(&o.ConnIdle, 30*time.Second)
+	setDefault(&o.ConnAge, 5*time.Minute)
+	setDefault(&o.MaxBody, 4<<20)
+	setDefault(&o.Timeout, 5*time.Second)
+	c := &Client{opt: o}
+	c.share.Store(&share{processes: 1})
+	c.hosts.Store(&hostMap{})
+	return c
+}
+
+func setDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// SetShare says that the process has the given rank among this many that
+// share each endpoint's connections. Connections beyond a smaller share are
+// closed as their calls end.
+func (c *Client) SetShare(rank, processes int) {
+	s := share{rank: rank, processes: max(processes, 1)}
+	c.share.Store(&s)
+	for _, h := range *c.hosts.Load() {
+		h.SetMaxConns(s.of(h.conns))
+	}
+}
+
+// Retain closes the idle connections to VMs that are not in the list, or that
+// have another address now, and forgets them.
+func (c *Client) Retain(vms []structs.VM) {
+	addrs := make(map[string]string, len(vms))
+	for _, vm := range vms {
+		addrs[vm.ID] = vm.Addr
+	}
+	gone := func(id string, h *host) bool { return addrs[id] != h.Addr() }
+	for {
+		old := c.hosts.Load()
+		next := maps.Clone(*old)
+		maps.DeleteFunc(next, gone)
+		if !c.hosts.CompareAndSwap(old, &next) {
+			continue // another call added a VM meanwhile
+		}
+		for id, h := range *old {
+			if gone(id, h) {
+				h.CloseIdle()
+			}
+		}
+		return
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() { c.Retain(nil) }
+
+// host returns the connections of a VM and makes them if necessary.
+func (c *Client) host(vm *structs.VM) *host {
+	for {
+		old := c.hosts.Load()
+		h, known := (*old)[vm.ID]
+		if known && h.Addr() == vm.Addr && h.conns == vm.Connections {
+			return h
+		}
+		if known && h.Addr() == vm.Addr {
+			h = &host{Host: h.Host, conns: vm.Connections}
+		} else {
+			h = c.newHost(vm)
+		}
+		next := maps.Clone(*old)
+		next[vm.ID] = h
+		if c.hosts.CompareAndSwap(old, &next) {
+			// Set after the host is in the map: SetShare reaches it there, or
+			// has stored the share that is read here.
+			h.SetMaxConns(c.share.Load().of(vm.Connections))
+			return h
+		}
+	}
+}
+
+func (c *Client) newHost(vm *structs.VM) *host {
+	return &host{conns: vm.Connections, Host: roundtrip.NewHost(vm.Addr, roundtrip.Options{
+		MaxConns: 1, // until the share is applied
+		MaxAge:   c.opt.ConnAge,
+		MaxIdle:  c.opt.ConnIdle,
+		MaxBody:  c.opt.MaxBody,
+	})}
+}
+
+// Do sends the request to the VM once and waits for the result until the
+// request's deadline or the context's. A context that ends otherwise does not
+// interrupt a call that was sent.
+func (c *Client) Do(ctx context.Context, req *structs.Request, vm structs.VM, legacy structs.Legacy, attempt int) structs.EndpointResult {
+	start := time.Now()
+	res := structs.EndpointResult{RequestID: req.ID, Attempt: attempt, VM: vm.ID}
+	if err := ctx.Err(); err != nil {
+		res.Kind, res.Detail = structs.EndpointNotReached, err.Error()
+		return res
+	}
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	x := roundtrip.Exchange{
+		Request:        out,
+		Response:       in,
+		ID:             req.ID,
+		Deadline:       c.deadline(ctx, req, start),
+		UnnamedRefusal: true,
+	}
+	build(out, req, vm.Addr, attempt, x.Deadline.Sub(start))
+	if f := c.host(&vm).Do(&x); f != nil {
+		classifyFailure(&res, f)
+	} else {
+		classifyAnswer(&res, in, legacy)
+	}
+	res.Latency = time.Since(start)
+	return res
+}
+
+func (c *Client) deadline(ctx context.Context, req *structs.Request, now time.Time) time.Time {
+	deadline := req.Deadline
+	if deadline.IsZero() {
+		deadline = now.Add(c.opt.Timeout)
+	}
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		return d
+	}
+	return deadline
+}
+
+func build(out *fasthttp.Request, req *structs.Request, addr string, attempt int, left time.Duration) {
+	var buf [128]byte
+	out.Header.SetMethod(fasthttp.MethodPost)
+	out.Header.SetHost(addr)
+	out.SetRequestURIBytes(wire.AppendPath(buf[:0], req.Service, req.Operation))
+	if req.ContentType != "" {
+		out.Header.SetContentType(req.ContentType)
+	}
+	if req.Key != "" {
+		out.Header.Set(wire.HeaderKey, req.Key)
+	}
+	if req.Team != "" {
+		out.Header.Set(wire.HeaderTeam, req.Team)
+	}
+	out.Header.SetBytesV(wire.HeaderAttempt, strconv.AppendInt(buf[:0], int64(attempt), 10))
+	out.Header.SetBytesV(wire.HeaderDeadline, strconv.AppendInt(buf[:0], left.Milliseconds(), 10))
+	out.SetBodyRaw(req.Body)
+}
--- /dev/null
+++ b/peer/endpoint/client_test.go
@@ -0,0 +1,206 @@
+package endpoint_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	peer "github.com/carobwharf/carobwharf/peer/endpoint"
+	"github.com/carobwharf/carobwharf/standin/endpoint"
+	"github.com/carobwharf/carobwharf/standin/units"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+const short = 150 * time.Millisecond // deadline of calls that must time out
+
+func start(t testing.TB, n int, service endpoint.Service) (*endpoint.Server, *peer.Client) {
+	t.Helper()
+	cfg := endpoint.DefaultConfig()
+	vms, err := endpoint.Fleet(n, "127.0.0.1", 0, []string{"dc1"}, 4, 64)
+	require.NoError(t, err)
+	cfg.VMs, cfg.Default = vms, service
+	s := endpoint.New(cfg)
+	require.NoError(t, s.Start())
+	c := peer.New(peer.Options{})
+	t.Cleanup(func() {
+		c.Close()
+		require.NoError(t, s.Stop(context.Background()))
+	})
+	return s, c
+}
+
+func request(id string, left time.Duration) *structs.Request {
+	return &structs.Request{
+		ID: id, Service: "payout", Operation: "pay", Key: "key-" + id,
+		Deadline: time.Now().Add(left), Body: []byte("body of " + id), ContentType: "text/plain",
+	}
+}
+
+// requireWhole checks that the answer is complete and belongs to the request.
+func requireWhole(t *testing.T, req *structs.Request, res structs.EndpointResult) {
+	t.Helper()
+	require.Equal(t, structs.EndpointAnswered, res.Kind, res.Detail)
+	var a endpoint.Answer
+	require.NoError(t, json.Unmarshal(res.Body, &a))
+	digest := sha256.Sum256(req.Body)
+	require.Equal(t, hex.EncodeToString(digest[:]), a.Digest)
+	require.Equal(t, req.ID, a.RequestID)
+}
+
+// Each legacy form must give whole answers on repeated calls; a form that the
+// client cannot frame loses answers or mixes them up.
+func TestLegacyForms(t *testing.T) {
+	for _, legacy := range []structs.Legacy{structs.LegacyNone, structs.LegacyClose, structs.LegacyChunked, structs.LegacyStatus200} {
+		t.Run(string(legacy), func(t *testing.T) {
+			s, c := start(t, 1, endpoint.Service{Legacy: legacy, Answer: 10000})
+			vm := s.VMs()[0]
+			for i := range 3 {
+				req := request(fmt.Sprint(i), time.Minute)
+				res := c.Do(context.Background(), req, vm, legacy, 1)
+				requireWhole(t, req, res)
+				require.False(t, res.Failed || res.Leaving)
+			}
+			require.Len(t, s.Effects(0, 0).Effects, 3)
+
+			require.NoError(t, s.SetFaults("", endpoint.Faults{FailAll: true}))
+			res := c.Do(context.Background(), request("f", time.Minute), vm, legacy, 1)
+			require.Equal(t, structs.EndpointAnswered, res.Kind)
+			require.True(t, res.Failed, "an error must be seen in the legacy form as well")
+			require.Equal(t, 500, res.Status)
+
+			require.NoError(t, s.SetFaults("", endpoint.Faults{Leaving: true}))
+			res = c.Do(context.Background(), request("l", time.Minute), vm, legacy, 1)
+			require.Equal(t, structs.EndpointRefused, res.Kind)
+			require.Equal(t, legacy != structs.LegacyClose, res.Leaving)
+			require.Len(t, s.Effects(0, 0).Effects, 3, "a refused request must not run")
+		})
+	}
+}
+
+// A request that may have run must never be classified as not reached or
+// refused: it would be run again elsewhere.
+func TestFaultsAreClassified(t *testing.T) {
+	late := units.Duration(4 * short)
+	cases := []struct {
+		name     string
+		faults   endpoint.Faults
+		legacy   structs.Legacy
+		want     structs.EndpointResultKind
+		executed int
+	}{
+		{"answer lost", endpoint.Faults{LoseAnswer: 1}, structs.LegacyNone, structs.EndpointBroken, 1},
+		{"answer late", endpoint.Faults{Late: late}, structs.LegacyNone, structs.EndpointTimedOut, 1},
+		{"slow", endpoint.Faults{Slow: late}, structs.LegacyNone, structs.EndpointTimedOut, 1},
+		{"frozen", endpoint.Faults{Freeze: true}, structs.LegacyNone, structs.EndpointTimedOut, 0},
+		{"cut", endpoint.Faults{CutAnswer: 1}, structs.LegacyNone, structs.EndpointBroken, 1},
+		{"cut close", endpoint.Faults{CutAnswer: 1}, structs.LegacyClose, structs.EndpointBroken, 1},
+		{"cut chunked", endpoint.Faults{CutAnswer: 1}, structs.LegacyChunked, structs.EndpointBroken, 1},
+		{"down", endpoint.Faults{Down: true}, structs.LegacyNone, structs.EndpointNotReached, 0},
+		{"leaving", endpoint.Faults{Leaving: true}, structs.LegacyNone, structs.EndpointRefused, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, c := start(t, 1, endpoint.Service{Legacy: tc.legacy})
+			vm := s.VMs()[0]
+			require.NoError(t, s.SetFaults(vm.ID, tc.faults))
+			res := c.Do(context.Background(), request("1", short), vm, tc.legacy, 1)
+			require.Equal(t, tc.want, res.Kind, res.Detail)
+			require.Len(t, s.Effects(0, 0).Effects, tc.executed)
+			require.Equal(t, tc.faults.Down || tc.faults.Leaving, res.Leaving)
+
+			require.NoError(t, s.SetFaults(vm.ID, endpoint.Faults{}))
+			req := request("2", time.Minute)
+			requireWhole(t, req, c.Do(context.Background(), req, vm, tc.legacy, 1))
+		})
+	}
+}
+
+// An answer with another request's id belongs to another caller.
+func TestCrossedAnswerIsNotDelivered(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{})
+	vm := s.VMs()[0]
+	require.Equal(t, structs.EndpointAnswered, c.Do(context.Background(), request("1", time.Minute), vm, structs.LegacyNone, 1).Kind)
+	require.NoError(t, s.SetFaults("", endpoint.Faults{CrossID: 1}))
+	res := c.Do(context.Background(), request("2", time.Minute), vm, structs.LegacyNone, 1)
+	require.Equal(t, structs.EndpointBroken, res.Kind)
+	require.Empty(t, res.Body)
+}
+
+// A late answer on a connection that is used again would reach the next
+// request; a timed out connection must be closed.
+func TestTimedOutConnectionIsNotReused(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{})
+	vm := s.VMs()[0]
+	require.NoError(t, s.SetFaults("", endpoint.Faults{Late: units.Duration(2 * short)}))
+	require.Equal(t, structs.EndpointTimedOut, c.Do(context.Background(), request("1", short), vm, structs.LegacyNone, 1).Kind)
+	require.NoError(t, s.SetFaults("", endpoint.Faults{}))
+	for i := range 20 {
+		req := request(fmt.Sprint("next-", i), time.Minute)
+		requireWhole(t, req, c.Do(context.Background(), req, vm, structs.LegacyNone, 1))
+	}
+}
+
+// All open connections go silent at once; only the first call may pay for it.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{Mean: 50 * time.Millisecond})
+	vm := s.VMs()[0]
+	done := make(chan structs.EndpointResult, 3)
+	for i := range cap(done) {
+		go func() {
+			done <- c.Do(context.Background(), request(fmt.Sprint(i), time.Minute), vm, structs.LegacyNone, 1)
+		}()
+	}
+	for range cap(done) {
+		require.Equal(t, structs.EndpointAnswered, (<-done).Kind)
+	}
+	require.NoError(t, s.SetFaults("", endpoint.Faults{Silence: true}))
+	require.Equal(t, structs.EndpointTimedOut, c.Do(context.Background(), request("a", short), vm, structs.LegacyNone, 1).Kind)
+	for i := range 3 {
+		req := request(fmt.Sprint("b", i), time.Minute)
+		requireWhole(t, req, c.Do(context.Background(), req, vm, structs.LegacyNone, 1))
+	}
+}
+
+// An endpoint closes idle connections when it restarts. A request written to
+// such a connection would have an unknown result although it never ran.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{})
+	vm := s.VMs()[0]
+	require.Equal(t, structs.EndpointAnswered, c.Do(context.Background(), request("1", time.Minute), vm, structs.LegacyNone, 1).Kind)
+	require.NoError(t, s.SetFaults("", endpoint.Faults{Down: true}))
+	require.NoError(t, s.SetFaults("", endpoint.Faults{}))
+	require.Eventually(t, func() bool { return s.Totals()[0].Conns == 0 }, 10*time.Second, time.Millisecond)
+	req := request("2", time.Minute)
+	requireWhole(t, req, c.Do(context.Background(), req, vm, structs.LegacyNone, 1))
+}
+
+// More connections than the process's share take connections from other
+// gateways; the endpoint then refuses work of all of them.
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{})
+	vm := s.VMs()[0]
+	vm.Connections = 13
+	c.SetShare(1, 6) // rank 0 gets 3, the others 2
+	require.NoError(t, s.SetFaults("", endpoint.Faults{Freeze: true}))
+	done := make(chan structs.EndpointResult, 4)
+	for i := range cap(done) {
+		go func() {
+			done <- c.Do(context.Background(), request(fmt.Sprint(i), time.Minute), vm, structs.LegacyNone, 1)
+		}()
+	}
+	for range 2 {
+		require.Equal(t, structs.EndpointNotReached, (<-done).Kind)
+	}
+	require.Eventually(t, func() bool { return s.Totals()[0].Held == 2 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, s.SetFaults("", endpoint.Faults{}))
+	for range 2 {
+		require.Equal(t, structs.EndpointAnswered, (<-done).Kind)
+	}
+	require.Equal(t, 2, s.Totals()[0].PeakConns)
+}
