Add the stand-in commands and make reboots real

Cause: experiments over several processes need the stand-ins as commands, and a planned stop is only tested if a rebooting VM breaks what it serves. Ruled out: a timer per reboot; one duty keeps the VMs that are off, in the order in which they return, since all reboots take equally long.

--- /dev/null
+++ b/cli/standin_test.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/standin/endpoint"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// A key that is misspelt must be refused, or an experiment runs without the
+// behaviour that it is about.
+func TestParseService(t *testing.T) {
+	base := endpoint.Service{Mean: time.Second, Legacy: structs.LegacyNone}
+	cases := []struct {
+		text string
+		want endpoint.Service
+		err  string
+	}{
+		{"a=mean:20ms,sigma:0.5,answer:10,legacy:chunked", endpoint.Service{Mean: 20 * time.Millisecond, Sigma: 0.5, Answer: 10, Legacy: structs.LegacyChunked}, ""},
+		{"a", base, ""},
+		{"a=means:20ms", base, "service a: means: unknown key"},
+		{"a=mean:20", base, "service a: mean: time: missing unit"},
+		{"a=legacy:old", base, "want none, close, chunked or status200"},
+		{"=mean:20ms", base, "want NAME=KEY:VALUE"},
+	}
+	for _, tc := range cases {
+		name, got, err := parseService(tc.text, base)
+		if tc.err != "" {
+			require.ErrorContains(t, err, tc.err, tc.text)
+			continue
+		}
+		require.NoError(t, err, tc.text)
+		require.Equal(t, "a", name)
+		require.Equal(t, tc.want, got, tc.text)
+	}
+}
+
+// Fleets that listen elsewhere than on loopback would leave the machine.
+func TestFleetStaysOnLoopback(t *testing.T) {
+	_, err := endpoint.Fleet(1, "10.0.0.1", 80, []string{"dc1"}, 8, 64)
+	require.ErrorContains(t, err, "loopback")
+	vms, err := endpoint.Fleet(300, "127.0.1.1", 80, []string{"dc1", "dc2"}, 8, 64)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.2.44:80", vms[299].Addr)
+	require.Equal(t, "dc2-r38", vms[299].Rack)
+}
--- a/standin/endpoint/config.go
+++ b/standin/endpoint/config.go
@@ -48,6 +48,9 @@
 	if ip == nil || !ip.IsLoopback() {
 		return nil, fmt.Errorf("first address %q: want a loopback IPv4 address", first)
 	}
+	if n < 1 || slots < 1 || connections < 1 {
+		return nil, fmt.Errorf("%d endpoints with %d slots and %d connections: want at least one each", n, slots, connections)
+	}
 	if len(dataCentres) == 0 {
 		return nil, fmt.Errorf("no data centre given")
 	}
--- a/standin/endpoint/server.go
+++ b/standin/endpoint/server.go
@@ -178,6 +178,15 @@
 	return s.change(vm, func(Faults) (Faults, error) { return f, nil })
 }
 
+// SetDown turns an endpoint off or on and keeps its other switches. It fits
+// the platform stand-in's Power.
+func (s *Server) SetDown(vm string, down bool) error {
+	return s.change(vm, func(f Faults) (Faults, error) {
+		f.Down = down
+		return f, nil
+	})
+}
+
 func (s *Server) change(vm string, merge func(Faults) (Faults, error)) error {
 	return ask(s, make(chan error, 1), func(reply chan error) event {
 		return change{vm: vm, merge: merge, reply: reply}
--- a/standin/platform/fleet.go
+++ b/standin/platform/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/carobwharf/carobwharf/structs"
@@ -25,15 +26,7 @@
 
 func (f *fleet) set(vms []structs.VM, now time.Time) {
 	vms = slices.Clone(vms)
-	slices.SortFunc(vms, func(a, b structs.VM) int {
-		switch {
-		case a.ID < b.ID:
-			return -1
-		case a.ID > b.ID:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(vms, func(a, b structs.VM) int { return strings.Compare(a.ID, b.ID) })
 	f.lists = append(f.lists, listing{from: now, vms: vms})
 	for len(f.lists) > 1 && now.Sub(f.lists[1].from) > historyKept {
 		f.lists = f.lists[1:]
@@ -71,16 +64,16 @@
 }
 
 // reboot takes the VM out of the list for the given time. A reboot of a VM
-// that is already away changes nothing. It reports whether the VM exists.
-func (f *fleet) reboot(id string, now time.Time, length time.Duration) bool {
-	known := slices.ContainsFunc(f.at(now), func(vm structs.VM) bool { return vm.ID == id })
+// that is already away changes nothing.
+func (f *fleet) reboot(id string, now time.Time, length time.Duration) (known, started bool) {
+	known = slices.ContainsFunc(f.at(now), func(vm structs.VM) bool { return vm.ID == id })
 	if !known || f.isAway(id, now) {
-		return known
+		return known, false
 	}
 	if f.away == nil {
 		f.away = make(map[string][]span)
 	}
 	spans := slices.DeleteFunc(f.away[id], func(s span) bool { return now.Sub(s.to) > historyKept })
 	f.away[id] = append(spans, span{from: now, to: now.Add(length)})
-	return true
+	return true, true
 }
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -90,11 +91,16 @@
 type rebootVM struct{ id string }
 
 func (o rebootVM) apply(s *state) reply {
-	if !s.fleet.reboot(o.id, s.now(), s.cfg.RebootTime) {
+	now := s.now()
+	known, started := s.fleet.reboot(o.id, now, s.cfg.RebootTime)
+	if !known {
 		return problem(fasthttp.StatusNotFound, "no such VM")
 	}
-	if s.cfg.OnReboot != nil {
-		s.cfg.OnReboot(o.id, s.cfg.RebootTime)
+	if started && s.reboots != nil {
+		r := reboot{vm: o.id, up: now.Add(s.cfg.RebootTime)}
+		if s.reboots.Put(context.Background(), r) != nil {
+			return problem(statusUnavailable, "too many reboots waiting")
+		}
 	}
 	return ok(struct{}{})
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -26,9 +26,7 @@
 	Faults     Faults
 	VMs        []structs.VM
 	RebootTime time.Duration // for which a rebooting VM is not in the list
-	// OnReboot is called when a reboot starts, on the state duty; it must
-	// not block.
-	OnReboot func(vm string, length time.Duration)
+	Power      Power         // makes reboots real; nil only changes the list
 }
 
 // DefaultConfig returns the configuration of a platform without faults.
@@ -48,6 +46,7 @@
 type Server struct {
 	cfg          Config
 	calls        *ring.Ring[call]
+	reboots      *ring.Ring[reboot]
 	sup          *duty.Supervisor
 	http         *fasthttp.Server
 	ln           net.Listener
@@ -61,6 +60,7 @@
 	s := &Server{
 		cfg:      cfg,
 		calls:    ring.New[call]("standin-platform-calls", callRing, ring.Wait),
+		reboots:  ring.New[reboot]("standin-platform-reboots", rebootRing, ring.Refuse),
 		sup:      duty.NewSupervisor(),
 		stopping: make(chan struct{}),
 	}
@@ -93,6 +93,10 @@
 	}
 	s.ln = ln
 	st := newState(s.cfg, &s.silentBefore)
+	if s.cfg.Power != nil {
+		st.reboots = s.reboots
+		s.sup.Add(duty.Duty{Name: "reboots", Run: func(ctx context.Context) error { return runReboots(ctx, s.reboots, s.cfg.Power) }})
+	}
 	s.sup.Add(duty.Duty{Name: "state", Run: func(ctx context.Context) error { return st.run(ctx, s.calls) }})
 	s.sup.Add(duty.Duty{Name: "http", Run: func(context.Context) error { return s.http.Serve(ln) }})
 	s.sup.Start(context.Background())
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -59,6 +59,7 @@
 	table   *table
 	objects map[string][]byte
 	fleet   fleet
+	reboots *ring.Ring[reboot] // nil if reboots only change the list
 	rng     *rand.Rand
 	reads   bucket
 	writes  bucket
