--- /dev/null
+++ b/settings/addr.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"strconv"
+	"strings"
+)
+
+// validAddr reports whether value is IP:port, with an IPv6 address in
+// brackets. Only peer packages import net and what is below it, net/netip
+// included, so the syntax is checked here; the listener or dialler refuses
+// the rest, such as an IPv6 address with too many groups.
+func validAddr(value string) bool {
+	i := strings.LastIndexByte(value, ':')
+	if i < 0 || !validNumber(value[i+1:], 65535) {
+		return false
+	}
+	host := value[:i]
+	if strings.HasPrefix(host, "[") && strings.HasSuffix(host, "]") {
+		inner := host[1 : len(host)-1]
+		return len(inner) >= 2 && strings.Contains(inner, ":") && strings.Trim(inner, "0123456789abcdefABCDEF:.") == ""
+	}
+	octets := strings.Split(host, ".")
+	if len(octets) != 4 {
+		return false
+	}
+	for _, o := range octets {
+		if !validNumber(o, 255) {
+			return false
+		}
+	}
+	return true
+}
+
+func validNumber(s string, high int) bool {
+	n, err := strconv.Atoi(s)
+	return err == nil && n >= 0 && n <= high && s == strconv.Itoa(n)
+}
