Encode table rows and object sets as JSON

Rows tolerate unknown fields, so that two versions of the binary can share the table. The object set does not: a process must not run with a part of a configuration that it does not understand, so an unknown field or another hash is an error. The canonical encoding gives equal sets equal bytes.

A new row config/generation/<n> records the hash of each generation. A submission whose base is behind the head needs the set of its base, and without the row only the head's hash is known. Ruled out: a chain of submission rows, which costs one read for each generation in between.

--- /dev/null
+++ b/rows/rows_test.go
@@ -0,0 +1,75 @@
+package rows
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+var at = time.Date(2026, 12, 4, 11, 0, 0, 0, time.UTC)
+
+// Rows are read by other versions of the binary, so their bytes are fixed.
+func TestRowBytes(t *testing.T) {
+	head := Head{Generation: 7, Hash: "ab", Base: 6, Submission: "s-1", Time: at}
+	data, err := EncodeHead(head)
+	require.NoError(t, err)
+	require.JSONEq(t, `{"Generation":7,"Hash":"ab","Base":6,"Submission":"s-1","Time":"2026-12-04T11:00:00Z"}`, string(data))
+	got, err := DecodeHead([]byte(strings.Replace(string(data), "{", `{"Later":1,`, 1)))
+	require.NoError(t, err)
+	require.Equal(t, head, got)
+
+	owner := structs.Owner{VM: "vm-1", Pool: "counter", State: structs.OwnerActive, Epoch: 3, Version: 9}
+	data, err = EncodeOwner(owner)
+	require.NoError(t, err)
+	require.NotContains(t, string(data), "Version")
+	back, err := DecodeOwner(data, 9)
+	require.NoError(t, err)
+	require.Equal(t, owner, back)
+}
+
+func TestRowsRoundTrip(t *testing.T) {
+	roundTrip(t, Submission{Generation: 1, Hash: "a", Submitted: "b", Time: at}, EncodeSubmission, DecodeSubmission)
+	roundTrip(t, Generation{Hash: "a", Submission: "s", Time: at}, EncodeGeneration, DecodeGeneration)
+	roundTrip(t, Lease{Holder: "c-1", Token: 2, Renewal: 3, Duration: time.Second}, EncodeLease, DecodeLease)
+	roundTrip(t, structs.Member{ID: "g-1", Role: structs.RoleGateway, Incarnation: 2}, EncodeMember, DecodeMember)
+	roundTrip(t, Absences{Absent: []structs.Absence{{VM: "vm-1", Planned: true, Since: at}}}, EncodeAbsences, DecodeAbsences)
+}
+
+func roundTrip[T any](t *testing.T, value T, enc func(T) ([]byte, error), dec func([]byte) (T, error)) {
+	t.Helper()
+	data, err := enc(value)
+	require.NoError(t, err)
+	got, err := dec(data)
+	require.NoError(t, err)
+	require.Equal(t, value, got)
+	_, err = dec([]byte("{"))
+	require.Error(t, err)
+}
+
+// The hash is compared between processes, so equal sets need equal bytes, and
+// damaged or unknown content must not come into force.
+func TestSetHash(t *testing.T) {
+	a := structs.ObjectSet{Services: []structs.Service{{Name: "payout", Once: []string{}}}, Teams: []structs.Team{}}
+	b := structs.ObjectSet{Services: []structs.Service{{Name: "payout"}}}
+	dataA, hashA, err := EncodeSet(&a)
+	require.NoError(t, err)
+	dataB, hashB, err := EncodeSet(&b)
+	require.NoError(t, err)
+	require.Equal(t, dataA, dataB)
+	require.Equal(t, "3e481173a0c58554", hashA[:16])
+	require.Equal(t, hashA, hashB)
+	set, err := DecodeSet(dataA, hashA)
+	require.NoError(t, err)
+	require.Equal(t, b, set)
+	_, err = DecodeSet(append(dataA, ' '), hashA)
+	require.ErrorContains(t, err, "hash")
+	unknown := []byte(`{"Clusters":[]}`)
+	_, err = DecodeSet(unknown, HashSet(unknown))
+	require.ErrorContains(t, err, "Clusters")
+	require.NoError(t, VerifyConfig(&structs.Config{Hash: hashA, Set: a}))
+	require.Error(t, VerifyConfig(&structs.Config{Hash: "00", Set: a}))
+}
--- a/store/keys.go
+++ b/store/keys.go
@@ -1,10 +1,13 @@
 package store
 
+import "fmt"
+
 // Keys of the table. Each prefix ends with a slash, so that Scan finds the
 // rows of one kind.
 const (
 	KeyConfigHead      = "config/head"
 	PrefixSubmission   = "config/submission/"
+	PrefixGeneration   = "config/generation/"
 	PrefixIntent       = "intent/"
 	PrefixVM           = "vm/"
 	PrefixPool         = "pool/"
@@ -19,6 +22,10 @@
 // KeySubmission returns the key of a submission's row.
 func KeySubmission(id string) string { return PrefixSubmission + id }
 
+// KeyGeneration returns the key of a generation's row. The number is padded,
+// so that rows sort by generation.
+func KeyGeneration(n uint64) string { return fmt.Sprintf("%s%020d", PrefixGeneration, n) }
+
 // KeyIntent returns the key of the idempotency record of a service and an
 // idempotency key.
 func KeyIntent(service, key string) string { return PrefixIntent + service + "/" + key }
