Keep the configuration current in a duty

Both roles need the newest accepted configuration within seconds, also when the platform is slow or down. The config duty reads the head on a jittered timer and follows hints of peers at once. A hinted generation is fetched from peers first, which spares the platform one read per process; otherwise the platform comes first. A process without a configuration starts from its peers when the platform is down. Every set is verified against its hash and only a higher generation comes into force.

Ruled out: asking peers at every poll while the platform is down. A process that has a configuration learns of a new one from heartbeats, and a set of the target size is too large to transfer once a second.

--- /dev/null
+++ b/internal/fakestore/fakestore.go
@@ -0,0 +1,190 @@
+// Package fakestore is a platform in memory for tests, with outages and lost
+// answers. One goroutine owns the rows and objects.
+package fakestore
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Platform implements store.Platform.
+type Platform struct {
+	// Down makes every call fail with store.ErrUnavailable.
+	Down atomic.Bool
+	// LoseAnswers is the number of the next commits that take effect and
+	// still return store.ErrUnknown.
+	LoseAnswers atomic.Int64
+	// LoseCommits is the number of the next commits that take no effect and
+	// return store.ErrUnknown.
+	LoseCommits atomic.Int64
+	// BeforeCommit, if set before the first call, runs before each commit, so
+	// that a test can let another writer win.
+	BeforeCommit func()
+
+	Commits atomic.Int64 // commits that took effect
+	Reads   atomic.Int64
+
+	calls chan func(*state)
+}
+
+type state struct {
+	rows    map[string]store.Row
+	objects map[string][]byte
+	version uint64 // last version given; shared by all rows, so that none is reused
+}
+
+// New returns an empty platform. It runs until ctx ends.
+func New(ctx context.Context) *Platform {
+	p := &Platform{calls: make(chan func(*state))}
+	go func() {
+		s := &state{rows: map[string]store.Row{}, objects: map[string][]byte{}}
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case call := <-p.calls:
+				call(s)
+			}
+		}
+	}()
+	return p
+}
+
+// do runs call on the owner's goroutine and waits for it.
+func (p *Platform) do(ctx context.Context, call func(*state)) error {
+	if p.Down.Load() {
+		return fmt.Errorf("fake platform: %w", store.ErrUnavailable)
+	}
+	done := make(chan struct{})
+	select {
+	case p.calls <- func(s *state) { call(s); close(done) }:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("fake platform: %w: %w", store.ErrUnavailable, ctx.Err())
+	}
+}
+
+// Get implements store.Table.
+func (p *Platform) Get(ctx context.Context, key string) (store.Row, error) {
+	p.Reads.Add(1)
+	var row store.Row
+	var found bool
+	if err := p.do(ctx, func(s *state) { row, found = s.rows[key] }); err != nil {
+		return row, err
+	}
+	if !found {
+		return row, fmt.Errorf("get %s: %w", key, store.ErrNotFound)
+	}
+	return row, nil
+}
+
+// Scan implements store.Table.
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	p.Reads.Add(1)
+	var out []store.Row
+	err := p.do(ctx, func(s *state) {
+		for key, row := range s.rows {
+			if strings.HasPrefix(key, prefix) && key > after {
+				out = append(out, row)
+			}
+		}
+	})
+	slices.SortFunc(out, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out[:min(limit, len(out))], err
+}
+
+// Commit implements store.Table.
+func (p *Platform) Commit(ctx context.Context, ops []store.Op) ([]uint64, error) {
+	if p.BeforeCommit != nil {
+		p.BeforeCommit()
+	}
+	if p.LoseCommits.Add(-1) >= 0 {
+		return nil, fmt.Errorf("commit: %w", store.ErrUnknown)
+	}
+	var versions []uint64
+	var failed error
+	if err := p.do(ctx, func(s *state) { versions, failed = s.commit(ops) }); err != nil {
+		return nil, err
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	p.Commits.Add(1)
+	if p.LoseAnswers.Add(-1) >= 0 {
+		return nil, fmt.Errorf("commit: %w", store.ErrUnknown)
+	}
+	return versions, nil
+}
+
+func (s *state) commit(ops []store.Op) ([]uint64, error) {
+	var conflict store.ConflictError
+	for _, op := range ops {
+		if !s.holds(op) {
+			conflict.Keys = append(conflict.Keys, op.Key)
+		}
+	}
+	if len(conflict.Keys) > 0 {
+		return nil, &conflict
+	}
+	versions := make([]uint64, len(ops))
+	for i, op := range ops {
+		switch op.Kind {
+		case store.OpDelete:
+			delete(s.rows, op.Key)
+		case store.OpCheck:
+		default:
+			s.version++
+			versions[i] = s.version
+			s.rows[op.Key] = store.Row{Key: op.Key, Version: s.version, Value: slices.Clone(op.Value)}
+		}
+	}
+	return versions, nil
+}
+
+func (s *state) holds(op store.Op) bool {
+	version := s.rows[op.Key].Version // 0 if the row does not exist
+	switch op.Kind {
+	case store.OpInsert:
+		return version == 0
+	case store.OpPut:
+		return true
+	case store.OpCheck:
+		return version == op.Expect
+	default:
+		return version == op.Expect && version != 0
+	}
+}
+
+// PutObject implements store.Objects.
+func (p *Platform) PutObject(ctx context.Context, name string, data []byte) error {
+	return p.do(ctx, func(s *state) { s.objects[name] = slices.Clone(data) })
+}
+
+// GetObject implements store.Objects.
+func (p *Platform) GetObject(ctx context.Context, name string) ([]byte, error) {
+	p.Reads.Add(1)
+	var data []byte
+	var found bool
+	if err := p.do(ctx, func(s *state) { data, found = s.objects[name] }); err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, fmt.Errorf("object %s: %w", name, store.ErrNotFound)
+	}
+	return data, nil
+}
+
+// ListVMs implements store.VMs with an empty list.
+func (p *Platform) ListVMs(context.Context) ([]structs.VM, error) { return nil, nil }
+
+// RebootVM implements store.VMs; no VM exists.
+func (p *Platform) RebootVM(_ context.Context, id string) error {
+	return fmt.Errorf("VM %s: %w", id, store.ErrNotFound)
+}
--- /dev/null
+++ b/node/configwatch/watch_test.go
@@ -0,0 +1,149 @@
+package configwatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/internal/fakestore"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/rows"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// peer is a PeerSource that has one configuration.
+type peer struct{ config *structs.Config }
+
+func (p *peer) FetchConfig(context.Context, uint64) (*structs.Config, error) {
+	if p.config == nil {
+		return nil, errors.New("no configuration")
+	}
+	return p.config, nil
+}
+
+func config(t *testing.T, generation uint64, target int) *structs.Config {
+	c := &structs.Config{Generation: generation, Set: structs.ObjectSet{Pools: []structs.Pool{{Name: "umum", Target: target}}}}
+	_, hash, err := rows.EncodeSet(&c.Set)
+	require.NoError(t, err)
+	c.Hash = hash
+	return c
+}
+
+func publish(t *testing.T, p *fakestore.Platform, c *structs.Config, withObject bool) {
+	data, hash, err := rows.EncodeSet(&c.Set)
+	require.NoError(t, err)
+	if withObject {
+		require.NoError(t, p.PutObject(t.Context(), rows.SetObject(hash), data))
+	}
+	head, err := rows.EncodeHead(rows.Head{Generation: c.Generation, Hash: hash})
+	require.NoError(t, err)
+	_, err = p.Commit(t.Context(), []store.Op{{Kind: store.OpPut, Key: store.KeyConfigHead, Value: head}})
+	require.NoError(t, err)
+}
+
+type fixture struct {
+	*Watch
+	platform *fakestore.Platform
+	out      *ring.Ring[*structs.Config]
+}
+
+func start(t *testing.T, p *fakestore.Platform, peers PeerSource, poll time.Duration) fixture {
+	out := ring.New[*structs.Config]("test", 1, ring.KeepNewest)
+	pool := pond.NewPool(2, pond.WithQueueSize(4), pond.WithNonBlocking(true))
+	w, err := New(Options{
+		Platform: p, Peers: peers, Poll: poll, Timeout: time.Second, Pool: pool,
+		Subscribers: []*ring.Ring[*structs.Config]{out}, Log: hclog.NewNullLogger(), Metrics: metrics.New(),
+	})
+	require.NoError(t, err)
+	s := duty.NewSupervisor()
+	s.Add(w.Duty())
+	s.Start(t.Context())
+	t.Cleanup(func() {
+		require.NoError(t, s.Stop(context.Background()))
+		pool.StopAndWait()
+	})
+	return fixture{Watch: w, platform: p, out: out}
+}
+
+func (f fixture) next(t *testing.T) *structs.Config {
+	t.Helper()
+	select {
+	case c := <-f.out.C():
+		return c
+	case <-time.After(10 * time.Second):
+		t.Fatal("no configuration within 10 s")
+		return nil
+	}
+}
+
+func TestFollowsTheHead(t *testing.T) {
+	p := fakestore.New(t.Context())
+	publish(t, p, config(t, 1, 10), true)
+	f := start(t, p, nil, time.Millisecond)
+	require.Equal(t, uint64(1), f.next(t).Generation)
+	publish(t, p, config(t, 2, 11), true)
+	require.Equal(t, 11, f.next(t).Set.Pools[0].Target)
+	require.Equal(t, uint64(2), f.Current().Generation)
+}
+
+// A head that falls back (a restored table, say) must not revert what is in
+// force.
+func TestNeverGoesBack(t *testing.T) {
+	p := fakestore.New(t.Context())
+	publish(t, p, config(t, 5, 10), true)
+	f := start(t, p, &peer{config(t, 4, 9)}, time.Millisecond)
+	require.Equal(t, uint64(5), f.next(t).Generation)
+	publish(t, p, config(t, 3, 8), true)
+	reads := p.Reads.Load()
+	require.Eventually(t, func() bool { return p.Reads.Load() > reads+3 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, f.Hint(t.Context(), 6)) // the peer only has generation 4
+	publish(t, p, config(t, 6, 7), true)
+	require.Equal(t, uint64(6), f.next(t).Generation)
+}
+
+func TestStartsFromPeersWhenThePlatformIsDown(t *testing.T) {
+	p := fakestore.New(t.Context())
+	p.Down.Store(true)
+	f := start(t, p, &peer{config(t, 3, 10)}, time.Millisecond)
+	require.Equal(t, uint64(3), f.next(t).Generation)
+}
+
+// The head may be readable while the object store is not.
+func TestTakesTheSetFromAPeerWhenTheObjectIsMissing(t *testing.T) {
+	p := fakestore.New(t.Context())
+	publish(t, p, config(t, 2, 10), false)
+	f := start(t, p, &peer{config(t, 2, 10)}, time.Millisecond)
+	require.Equal(t, uint64(2), f.next(t).Generation)
+}
+
+// With an hour between polls only the hint can bring the new generation.
+func TestHintIsFollowedAtOnce(t *testing.T) {
+	p := fakestore.New(t.Context())
+	publish(t, p, config(t, 1, 10), true)
+	source := &peer{config(t, 2, 11)}
+	f := start(t, p, source, time.Hour)
+	require.Equal(t, uint64(1), f.next(t).Generation)
+	require.NoError(t, f.Hint(t.Context(), 2))
+	require.Equal(t, uint64(2), f.next(t).Generation)
+}
+
+// A damaged set from a peer must not come into force.
+func TestRefusesAWrongHash(t *testing.T) {
+	bad := config(t, 2, 11)
+	bad.Set.Pools[0].Target = 99
+	o := Options{Platform: fakestore.New(t.Context()), Peers: &peer{bad}, Timeout: time.Second}
+	f := fetch{opts: &o, hinted: 2}
+	r := f.run(t.Context())
+	require.Nil(t, r.config)
+	other := fetch{opts: &o}
+	_, err := other.fromPeers(t.Context(), 2, "00")
+	require.ErrorContains(t, err, "hash")
+}
