Add the load generator and its command

Cause: latency and outcomes under floods have to be measured with calls that start when the schedule says; a closed loop slows down with the system and hides the queueing delay. Ruled out: one goroutine for each request, because a stalled system would grow them without bound; calls run in a pond pool, and those beyond the limit are refused and counted. pond's StopAndWait was ruled out for the end of a run: it goes through the library's global default pool, which a test with virtual time cannot use. The run takes all in-flight slots instead. The command needs cli.NewCaller, which is not set yet.

--- /dev/null
+++ b/cli/load.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/carobwharf/carobwharf/load"
+)
+
+// NewCaller returns a client for the gateway at target (IP:port) with at most
+// the given number of connections. It is set by the package that links the
+// client in. A client that is an io.Closer is closed after use.
+var NewCaller func(target string, connections int) (load.Caller, error)
+
+type loadFlags struct {
+	target, mix, history string
+	length               time.Duration
+	seed                 uint64
+	inFlight             int
+	asJSON               bool
+}
+
+func newLoadCmd() *cobra.Command {
+	var f loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send generated load to a gateway and report latency and outcomes",
+		Long: "Send the flows of a mix file to a gateway at their scheduled times, whether or\n" +
+			"not earlier calls have ended. Latency counts from the intended start.",
+		Example: "  carobwharf load --target 127.0.0.1:8080 --mix load/testdata/lintang.ini --for 1m --rate 0.5 --history run.jsonl",
+		Args:    cobra.NoArgs,
+	}
+	cmd.Flags().StringVar(&f.target, "target", "", "gateway, IP:port")
+	cmd.Flags().StringVar(&f.mix, "mix", "", "mix file (INI)")
+	rate := cmd.Flags().Float64("rate", 1, "factor for all rates of the mix")
+	cmd.Flags().DurationVar(&f.length, "for", time.Minute, "length of the schedule")
+	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "seed of the schedule")
+	cmd.Flags().IntVar(&f.inFlight, "in-flight", 4096, "calls in flight; further ones are refused and counted")
+	cmd.Flags().StringVar(&f.history, "history", "", "file for the history (JSON lines)")
+	cmd.Flags().BoolVar(&f.asJSON, "json", false, "print JSON")
+	cmd.PreRunE = func(*cobra.Command, []string) error { return checkLoad(f, *rate) }
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return runLoad(cmd, f, *rate) }
+	return cmd
+}
+
+func checkLoad(f loadFlags, rate float64) error {
+	var err error
+	switch {
+	case f.target == "":
+		err = errors.New("--target is required: IP:port of a gateway")
+	case f.mix == "":
+		err = errors.New("--mix is required: an INI file with [flow NAME] sections")
+	case !(rate > 0):
+		err = fmt.Errorf("--rate %v: want more than 0", rate)
+	case f.length <= 0 || f.inFlight <= 0:
+		err = fmt.Errorf("--for %v, --in-flight %d: want more than 0", f.length, f.inFlight)
+	case NewCaller == nil:
+		err = errors.New("this binary has no caller client")
+	}
+	if err != nil {
+		return &CodedError{Code: ExitUsage, Err: err}
+	}
+	return nil
+}
+
+func runLoad(cmd *cobra.Command, f loadFlags, rate float64) error {
+	mix, err := load.ReadMix(f.mix)
+	if err != nil {
+		return &CodedError{Code: ExitUsage, Err: err}
+	}
+	for i := range mix {
+		mix[i].Rate *= rate
+	}
+	opt := load.Options{Mix: mix, Seed: f.seed, Length: f.length, InFlight: f.inFlight}
+	if f.history != "" {
+		file, err := os.Create(f.history)
+		if err != nil {
+			return fmt.Errorf("create history: %w", err)
+		}
+		defer file.Close()
+		opt.History = file
+	}
+	caller, err := NewCaller(f.target, f.inFlight)
+	if err != nil {
+		return fmt.Errorf("caller client: %w", err)
+	}
+	if c, ok := caller.(io.Closer); ok {
+		defer c.Close()
+	}
+	res, err := load.Run(cmd.Context(), caller, opt)
+	if err != nil {
+		return err
+	}
+	if f.asJSON {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(res)
+	}
+	_, err = fmt.Fprint(cmd.OutOrStdout(), res)
+	return err
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -21,6 +21,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersionCmd())
+	root.AddCommand(newVersionCmd(), newLoadCmd())
 	return root
 }
--- a/history/check.go
+++ b/history/check.go
@@ -152,6 +152,9 @@
 		return
 	}
 	n.add(a.Outcome, a.Replayed)
+	if a.For != "" && a.For != r.ID {
+		c.add(KindWrongAnswer, r, "answer carries the identifier of request %s", a.For)
+	}
 	switch a.Outcome {
 	case structs.OutcomeDone:
 		if isSuccess(a) {
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -64,6 +64,7 @@
 	}{
 		"correct":           {func(*History) {}, nil, true},
 		"crossed answer":    {func(h *History) { h.Answers[0].BodyID = "e" }, []Kind{KindWrongAnswer}, false},
+		"crossed refusal":   {func(h *History) { h.Answers[3].For = "e" }, []Kind{KindWrongAnswer}, true},
 		"crossed body":      {func(h *History) { h.Answers[0].Digest = "d-k2" }, []Kind{KindWrongAnswer}, true},
 		"truncated":         {func(h *History) { h.Answers[0].Whole = false }, []Kind{KindTruncated}, true},
 		"second execution":  {func(h *History) { h.Effects = append(h.Effects, effect("a", "k1")) }, []Kind{KindRepeatedEffect}, false},
--- a/history/record.go
+++ b/history/record.go
@@ -31,7 +31,8 @@
 // Answer records what a caller got back. Error is set, and Outcome empty, if
 // the call ended without an answer.
 type Answer struct {
-	ID       string          `json:"id"` // request that the caller was waiting for
+	ID       string          `json:"id"`            // request that the caller was waiting for
+	For      string          `json:"for,omitempty"` // request that the answer names outside its body
 	At       time.Duration   `json:"at"`
 	Outcome  structs.Outcome `json:"outcome,omitempty"`
 	Reason   structs.Reason  `json:"reason,omitempty"`
@@ -89,7 +90,7 @@
 		return Answer{ID: id, At: at, Error: cmp.Or(callErr.Error(), "no answer")}
 	}
 	out := Answer{
-		ID: id, At: at, Outcome: a.Outcome, Reason: a.Reason, Status: a.Status,
+		ID: id, For: a.RequestID, At: at, Outcome: a.Outcome, Reason: a.Reason, Status: a.Status,
 		Replayed: a.Replayed, Sum: Digest(a.Body),
 	}
 	var body endpointBody
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/history"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Caller sends a request and waits for its answer. An error means that the
+// call ended without an answer.
+type Caller interface {
+	Call(ctx context.Context, req *structs.Request) (structs.Answer, error)
+}
+
+// Options configures Run.
+type Options struct {
+	Mix      Mix
+	Seed     uint64
+	Length   time.Duration
+	InFlight int           // calls in flight, at most; further ones are refused and counted. Default 4096
+	Grace    time.Duration // wait for an answer beyond the deadline. Default 5 s
+	History  io.Writer     // receives the history as JSON lines; may be nil
+}
+
+const (
+	defaultInFlight = 4096
+	defaultGrace    = 5 * time.Second
+	// The record duty writes a file, so that it can fall behind by this many
+	// events before the schedule has to wait for it.
+	recordRing = 1 << 16
+)
+
+type eventKind int
+
+const (
+	eventSent eventKind = iota
+	eventRefused
+	eventAnswered
+)
+
+type event struct {
+	kind   eventKind
+	call   Call
+	at     time.Duration
+	answer structs.Answer
+	err    error
+}
+
+type runner struct {
+	opt    Options
+	caller Caller
+	start  time.Time
+	slots  chan struct{} // one value for each call in flight
+	pool   pond.Pool
+	events *ring.Ring[event]
+	ended  chan struct{} // closed at the end of the schedule
+	tally  *tally
+	writer *history.Writer
+}
+
+// Run generates the load and returns the results after the last call has
+// ended. At the end of ctx it starts no further calls.
+func Run(ctx context.Context, caller Caller, opt Options) (*Result, error) {
+	if err := opt.Mix.Check(); err != nil {
+		return nil, err
+	}
+	poolCtx, stopPool := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPool()
+	r := newRunner(poolCtx, caller, opt)
+	sup := duty.NewSupervisor()
+	sup.Add(duty.Duty{Name: "load-record", Run: r.record})
+	sup.Add(duty.Duty{Name: "load-schedule", Run: func(stop context.Context) error { return r.schedule(ctx, stop) }})
+	r.start = time.Now()
+	sup.Start(ctx)
+	var failed error
+	select {
+	case <-r.ended:
+	case failed = <-sup.Failed():
+		r.events.Close()
+	}
+	r.awaitCalls()
+	length := time.Since(r.start)
+	if err := sup.Stop(context.WithoutCancel(ctx)); err != nil {
+		return nil, err
+	}
+	if failed == nil {
+		failed = lastFailure(sup)
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	if r.writer != nil {
+		if err := r.writer.Close(length); err != nil {
+			return nil, fmt.Errorf("write history: %w", err)
+		}
+	}
+	return r.tally.result(min(length, opt.Length)), nil
+}
+
+func lastFailure(sup *duty.Supervisor) error {
+	select {
+	case err := <-sup.Failed():
+		return err
+	default:
+		return nil
+	}
+}
+
+func newRunner(ctx context.Context, caller Caller, opt Options) *runner {
+	if opt.InFlight <= 0 {
+		opt.InFlight = defaultInFlight
+	}
+	if opt.Grace <= 0 {
+		opt.Grace = defaultGrace
+	}
+	r := &runner{
+		opt: opt, caller: caller, tally: newTally(),
+		slots:  make(chan struct{}, opt.InFlight),
+		pool:   pond.NewPool(opt.InFlight, pond.WithContext(ctx)),
+		events: ring.New[event]("load-record", recordRing, ring.Wait),
+		ended:  make(chan struct{}),
+	}
+	if opt.History != nil {
+		r.writer = history.NewWriter(opt.History)
+	}
+	return r
+}
+
+// schedule starts each call at its time. It ends with the schedule, with the
+// caller's context, or with the supervisor's stop.
+func (r *runner) schedule(ctx, stop context.Context) error {
+	defer close(r.ended)
+	s := NewSchedule(r.opt.Mix, r.opt.Seed, r.opt.Length)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		c, ok := s.Next()
+		if !ok {
+			return nil
+		}
+		if wait := c.At - time.Since(r.start); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				return nil
+			case <-stop.Done():
+				return nil
+			}
+		}
+		if err := r.dispatch(stop, c); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *runner) dispatch(ctx context.Context, c Call) error {
+	now := time.Now()
+	at := now.Sub(r.start)
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		return r.events.Put(ctx, event{kind: eventRefused, call: c, at: at})
+	}
+	c.Request.Arrived = now
+	c.Request.Deadline = now.Add(c.Flow.Deadline)
+	if err := r.events.Put(ctx, event{kind: eventSent, call: c, at: at}); err != nil {
+		return err
+	}
+	return r.pool.Go(func() { r.call(c) })
+}
+
+func (r *runner) call(c Call) {
+	defer func() { <-r.slots }()
+	ctx, cancel := context.WithDeadline(context.Background(), c.Request.Deadline.Add(r.opt.Grace))
+	defer cancel()
+	req := c.Request
+	a, err := r.caller.Call(ctx, &req)
+	// Put fails only after the record duty has failed, which ends the run.
+	_ = r.events.Put(context.Background(), event{kind: eventAnswered, call: c, at: time.Since(r.start), answer: a, err: err})
+}
+
+// awaitCalls returns when no call is in flight: it takes every slot.
+func (r *runner) awaitCalls() {
+	for range cap(r.slots) {
+		r.slots <- struct{}{}
+	}
+}
+
+// record keeps the results and writes the history. At its stop it takes what
+// is left in the ring: all producers have ended by then.
+func (r *runner) record(ctx context.Context) error {
+	for {
+		select {
+		case e := <-r.events.C():
+			if err := r.note(&e); err != nil {
+				return fmt.Errorf("write history: %w", err)
+			}
+		case <-ctx.Done():
+			return r.drain()
+		}
+	}
+}
+
+func (r *runner) drain() error {
+	for {
+		select {
+		case e := <-r.events.C():
+			if err := r.note(&e); err != nil {
+				return fmt.Errorf("write history: %w", err)
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+func (r *runner) note(e *event) error {
+	c := &e.call
+	switch e.kind {
+	case eventRefused:
+		r.tally.service(c.Flow.Service).Refused++
+		return nil
+	case eventSent:
+		r.tally.sent(c, e.at-c.At)
+		if r.writer == nil {
+			return nil
+		}
+		return r.writer.Request(history.NewRequest(&c.Request, c.Flow.Once, c.At, e.at, c.Flow.Deadline))
+	}
+	r.tally.answered(c, e.at, e.answer, e.err)
+	if r.writer == nil {
+		return nil
+	}
+	return r.writer.Answer(history.NewAnswer(c.Request.ID, e.at, e.answer, e.err))
+}
