--- a/cli/root.go
+++ b/cli/root.go
@@ -22,5 +22,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newVersionCmd(), newStandinCmd())
+	root.AddCommand(newVersionCmd(), newLoadCmd())
 	return root
 }
