Run the whole path in one process: demo

Cause: the lanes' packages have to serve a request end to end before they grow further. daemon/process wires the shared duties (configuration, VM view, membership, peers) and those of each role; demo adds the stand-ins, load and the history check. The stand-in named the request 'request_id' in its body while the history reads 'id'; both use 'id' now. Before: no whole path.

--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/carobwharf/carobwharf/demo"
+)
+
+// errNotClean is the result of a demonstration whose history has violations.
+var errNotClean = errors.New("the history of the demonstration has violations")
+
+func newDemoCmd() *cobra.Command {
+	o := demo.DefaultOptions()
+	cmd := &cobra.Command{
+		Use:     "demo",
+		Short:   "Run a whole deployment with stand-ins and load in one process, and check its history",
+		Example: "  carobwharf demo --for 10s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			o.Out, o.Log = cmd.OutOrStdout(), cmd.ErrOrStderr()
+			r, err := demo.Run(cmd.Context(), o)
+			if err != nil {
+				return fmt.Errorf("demonstration: %w", err)
+			}
+			fmt.Fprintf(o.Out, "\n%s\n%s\n", r.Load, r.Report)
+			if !r.Clean() {
+				for _, f := range r.Once {
+					fmt.Fprintln(o.Out, f)
+				}
+				return errNotClean
+			}
+			fmt.Fprintln(o.Out, "clean: nothing lost, nothing executed twice, no wrong answer")
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.DurationVar(&o.Length, "for", o.Length, "length of the load")
+	f.Uint64Var(&o.Seed, "seed", o.Seed, "seed of the load and the service times")
+	f.IntVar(&o.Gateways, "gateways", o.Gateways, "gateway processes")
+	f.IntVar(&o.Controllers, "controllers", o.Controllers, "controller processes")
+	f.Float64Var(&o.Rate, "rate", o.Rate, "factor of the load's rates")
+	return cmd
+}
--- a/cmd/carobwharf/main.go
+++ b/cmd/carobwharf/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -10,7 +11,8 @@
 )
 
 func main() {
-	if err := cli.NewRoot().Execute(); err != nil {
+	ctx := context.Background()
+	if err := cli.NewRoot().ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "carobwharf: %v\n", err)
 		os.Exit(cli.ExitCode(err))
 	}
--- /dev/null
+++ b/demo/deployment.go
@@ -0,0 +1,193 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/carobwharf/carobwharf/daemon/controller/publisher"
+	"github.com/carobwharf/carobwharf/daemon/process"
+	"github.com/carobwharf/carobwharf/peer/caller"
+	"github.com/carobwharf/carobwharf/settings"
+	"github.com/carobwharf/carobwharf/standin/endpoint"
+	"github.com/carobwharf/carobwharf/standin/platform"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Size of the demonstration's fleet.
+const (
+	vmCount        = 50
+	vmSlots        = 8
+	vmConnections  = 64
+	serviceTime    = 20 * time.Millisecond
+	serviceSigma   = 0.5
+	callerConns    = 512
+	firstVMAddress = "127.0.1.1"
+)
+
+var dataCentres = []string{"dc1", "dc2", "dc3"}
+
+// deployment is everything that runs during a demonstration.
+type deployment struct {
+	platform    *platform.Server
+	endpoints   *endpoint.Server
+	controllers []*process.Controller
+	gateways    []*process.Gateway
+	callers     *balancer
+	effects     []endpoint.Effect // set by stop
+}
+
+func startDeployment(ctx context.Context, o Options, set structs.ObjectSet) (*deployment, error) {
+	d := &deployment{}
+	err := d.start(ctx, o, set)
+	if err != nil {
+		return nil, errors.Join(err, d.stop())
+	}
+	return d, nil
+}
+
+func (d *deployment) start(ctx context.Context, o Options, set structs.ObjectSet) error {
+	if err := d.startStandins(o, &set); err != nil {
+		return err
+	}
+	if err := d.startControllers(ctx, o); err != nil {
+		return err
+	}
+	submission := publisher.Submission{ID: "demo-first-set", Set: set}
+	if _, err := d.controllers[0].Submit(ctx, submission); err != nil {
+		return fmt.Errorf("submit the demonstration set: %w", err)
+	}
+	if err := d.startGateways(ctx, o); err != nil {
+		return err
+	}
+	return d.waitReady(ctx)
+}
+
+func (d *deployment) startStandins(o Options, set *structs.ObjectSet) error {
+	vms, err := endpoint.Fleet(vmCount, firstVMAddress, 0, dataCentres, vmSlots, vmConnections)
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	ec := endpoint.DefaultConfig()
+	ec.VMs, ec.Seed = vms, o.Seed
+	ec.Default = endpoint.Service{Mean: serviceTime, Sigma: serviceSigma}
+	ec.Services = map[string]endpoint.Service{}
+	for _, s := range set.Services {
+		ec.Services[s.Name] = endpoint.Service{Legacy: s.Legacy, Mean: serviceTime, Sigma: serviceSigma}
+	}
+	endpoints := endpoint.New(ec)
+	if err := endpoints.Start(); err != nil {
+		return err
+	}
+	d.endpoints = endpoints
+	pc := platform.DefaultConfig()
+	pc.Seed, pc.VMs, pc.Power = o.Seed, endpoints.VMs(), endpoints.SetDown
+	server := platform.New(pc)
+	if err := server.Start(); err != nil {
+		return err
+	}
+	d.platform = server
+	return nil
+}
+
+func (d *deployment) settings(name string, n int) settings.Process {
+	p := settings.DefaultProcess()
+	p.ID = fmt.Sprintf("%s-%d", name, n+1)
+	p.DataCentre = dataCentres[n%len(dataCentres)]
+	p.Platform.Addr = d.platform.Addr()
+	p.Log.Level = "warn"
+	for _, c := range d.controllers {
+		p.Seeds = append(p.Seeds, c.PeerAddr())
+	}
+	return p
+}
+
+func (d *deployment) startControllers(ctx context.Context, o Options) error {
+	for i := range o.Controllers {
+		c, err := process.NewController(d.settings("controller", i), o.Log)
+		if err != nil {
+			return fmt.Errorf("controller %d: %w", i+1, err)
+		}
+		c.Start(ctx)
+		d.controllers = append(d.controllers, c)
+	}
+	return nil
+}
+
+func (d *deployment) startGateways(ctx context.Context, o Options) error {
+	d.callers = &balancer{}
+	for i := range o.Gateways {
+		g, err := process.NewGateway(d.settings("gateway", i), o.Log)
+		if err != nil {
+			return fmt.Errorf("gateway %d: %w", i+1, err)
+		}
+		g.Start(ctx)
+		d.gateways = append(d.gateways, g)
+		d.callers.clients = append(d.callers.clients, caller.NewClient(caller.ClientConfig{Addr: g.Addr(), MaxConnections: callerConns}))
+	}
+	return nil
+}
+
+// waitReady waits until every gateway has a configuration and a fleet, and
+// every VM has an owner.
+func (d *deployment) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		if d.ready() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("deployment is not ready after %s: %d of %d VMs have an owner",
+				startTimeout, len(d.platform.Rows("vm/")), vmCount)
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *deployment) ready() bool {
+	for _, g := range d.gateways {
+		if !g.Ready() || g.Generation() == 0 {
+			return false
+		}
+	}
+	return len(d.platform.Rows("vm/")) == vmCount
+}
+
+// stop ends the processes, keeps the effects and ends the stand-ins.
+func (d *deployment) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	var errs []error
+	for _, g := range d.gateways {
+		errs = append(errs, g.Stop(ctx))
+	}
+	for _, c := range d.controllers {
+		errs = append(errs, c.Stop(ctx))
+	}
+	if d.endpoints != nil {
+		d.effects = d.endpoints.Effects(0, 0).Effects
+		errs = append(errs, d.endpoints.Stop(ctx))
+	}
+	if d.platform != nil {
+		errs = append(errs, d.platform.Stop(ctx))
+	}
+	return errors.Join(errs...)
+}
+
+// balancer sends each call to the next gateway, as the platform's load
+// balancer does.
+type balancer struct {
+	clients []*caller.Client
+	next    atomic.Uint64
+}
+
+// Call sends the request through the next gateway.
+func (b *balancer) Call(ctx context.Context, req *structs.Request) (structs.Answer, error) {
+	return b.clients[b.next.Add(1)%uint64(len(b.clients))].Call(ctx, req)
+}
--- a/standin/endpoint/handler.go
+++ b/standin/endpoint/handler.go
@@ -22,7 +22,7 @@
 // Answer is the body of an answer. ID and digest show whether it belongs to
 // the request and is whole.
 type Answer struct {
-	RequestID string `json:"request_id"`
+	RequestID string `json:"id"`
 	VM        string `json:"vm"`
 	Service   string `json:"service"`
 	Operation string `json:"operation"`
@@ -138,7 +138,7 @@
 // appendAnswer appends the JSON of an Answer.
 func appendAnswer(dst []byte, v *verdict, e *Effect, vm string) []byte {
 	for _, field := range [...]struct{ name, value string }{
-		{`{"request_id":`, v.id}, {`,"vm":`, vm}, {`,"service":`, e.Service},
+		{`{"id":`, v.id}, {`,"vm":`, vm}, {`,"service":`, e.Service},
 		{`,"operation":`, e.Operation}, {`,"digest":`, e.BodyHash},
 	} {
 		dst = append(dst, field.name...)
