--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -20,7 +20,7 @@
 // Packages of decisions: typed input, typed output, no I/O.
 var pure = []string{
 	"structs", "configcheck", "publication", "admission", "dispatch", "retry",
-	"intent", "budget", "rollout", "buffer", "placement", "membership", "lease",
+	"intent", "pacing", "budget", "rollout", "buffer", "placement", "membership", "lease",
 	"daemon/gateway/dispatcher",
 }
 
