Add workers: contract, stand-in and adapter

Cause: placement needs workers that run tasks under leases with fencing tokens, whose real run times and sizes differ from what was declared. Ruled out: a timer per task in the stand-in; progress is computed from the phases of a run when it is asked for, which also gives the lagging usage report without a history. Counting starts against the store's write rate: workers are not the table. Conclusion: store.Workers is the contract; peer/worker implements it, and the JSON calls of both adapters share peer/internal/jsoncall.

--- /dev/null
+++ b/peer/endpoint/bench_test.go
@@ -0,0 +1,27 @@
+package endpoint_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/carobwharf/carobwharf/standin/endpoint"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Figures include the stand-in, which runs in the same process.
+func BenchmarkDo(b *testing.B) {
+	for _, legacy := range []structs.Legacy{structs.LegacyNone, structs.LegacyClose, structs.LegacyChunked} {
+		b.Run(string(legacy), func(b *testing.B) {
+			s, c := start(b, 1, endpoint.Service{Legacy: legacy})
+			vm := s.VMs()[0]
+			req := request("1", time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				if res := c.Do(context.Background(), req, vm, legacy, 1); res.Kind != structs.EndpointAnswered {
+					b.Fatal(res.Detail)
+				}
+			}
+		})
+	}
+}
--- a/peer/platform/table.go
+++ b/peer/platform/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/carobwharf/carobwharf/peer/internal/jsoncall"
 	"github.com/carobwharf/carobwharf/peer/platform/wire"
 	"github.com/carobwharf/carobwharf/store"
 )
@@ -16,29 +17,36 @@
 // Get returns the row, or store.ErrNotFound.
 func (c *Client) Get(ctx context.Context, key string) (store.Row, error) {
 	var row wire.Row
-	err := c.do(ctx, &call{
-		method: fasthttp.MethodGet, path: wire.PathRow,
-		args: [3][2]string{{"key", key}},
-	}, func(body []byte) error {
-		if err := json.Unmarshal(body, &row); err != nil {
-			return err
-		}
-		if row.Key != key {
-			return fmt.Errorf("asked for row %q, got %q", key, row.Key)
-		}
-		return nil
+	err := c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodGet, Path: wire.PathRow,
+		Args: [3][2]string{{"key", key}},
+		Decode: func(body []byte) error {
+			if err := json.Unmarshal(body, &row); err != nil {
+				return err
+			}
+			if row.Key != key {
+				return fmt.Errorf("asked for row %q, got %q", key, row.Key)
+			}
+			return nil
+		},
 	})
-	return store.Row(row), err
+	if err != nil {
+		return store.Row{}, err
+	}
+	return store.Row(row), nil
 }
 
-// Scan returns at most limit rows with the prefix after the given key.
+// Scan returns at most limit rows with the prefix after the given key. The
+// platform itself gives no more than wire.MaxScan at once.
 func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	if limit <= 0 {
+		return nil, nil
+	}
 	var rows wire.Rows
-	err := c.do(ctx, &call{
-		method: fasthttp.MethodGet, path: wire.PathScan,
-		args: [3][2]string{{"prefix", prefix}, {"after", after}, {"limit", strconv.Itoa(limit)}},
-	}, func(body []byte) error {
-		return json.Unmarshal(body, &rows)
+	err := c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodGet, Path: wire.PathScan,
+		Args:   [3][2]string{{"prefix", prefix}, {"after", after}, {"limit", strconv.Itoa(limit)}},
+		Decode: func(body []byte) error { return json.Unmarshal(body, &rows) },
 	})
 	if err != nil {
 		return nil, err
@@ -57,14 +65,17 @@
 		return nil, fmt.Errorf("%s: %w: %w", wire.PathCommit, store.ErrUnavailable, err)
 	}
 	var done wire.Committed
-	err = c.do(ctx, &call{method: fasthttp.MethodPost, path: wire.PathCommit, json: body, writes: true}, func(body []byte) error {
-		if err := json.Unmarshal(body, &done); err != nil {
-			return err
-		}
-		if len(done.Versions) != len(ops) {
-			return fmt.Errorf("%d versions for %d operations", len(done.Versions), len(ops))
-		}
-		return nil
+	err = c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodPost, Path: wire.PathCommit, JSON: body, Writes: true,
+		Decode: func(body []byte) error {
+			if err := json.Unmarshal(body, &done); err != nil {
+				return err
+			}
+			if len(done.Versions) != len(ops) {
+				return fmt.Errorf("%d versions for %d operations", len(done.Versions), len(ops))
+			}
+			return nil
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -74,24 +85,22 @@
 
 // PutObject stores an immutable object.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	if data == nil {
-		data = []byte{}
-	}
-	return c.do(ctx, &call{
-		method: fasthttp.MethodPut, path: wire.PathObject, raw: data, writes: true,
-		args: [3][2]string{{"name", name}},
-	}, nil)
+	return c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodPut, Path: wire.PathObject, Raw: data, Writes: true,
+		Args: [3][2]string{{"name", name}},
+	})
 }
 
 // GetObject returns an object, or store.ErrNotFound.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
 	var data []byte
-	err := c.do(ctx, &call{
-		method: fasthttp.MethodGet, path: wire.PathObject,
-		args: [3][2]string{{"name", name}},
-	}, func(body []byte) error {
-		data = bytes.Clone(body)
-		return nil
+	err := c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodGet, Path: wire.PathObject,
+		Args: [3][2]string{{"name", name}},
+		Decode: func(body []byte) error {
+			data = bytes.Clone(body)
+			return nil
+		},
 	})
 	return data, err
 }
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -28,6 +28,12 @@
 	Silence bool `json:"silence"`
 
 	VMLag units.Duration `json:"vm_lag"` // age of the VM list and of usage reports
+
+	FailWorkers []string `json:"fail_workers"` // workers that fail every task that starts there
+	// The real run time and the real use of resources are the declared ones
+	// times a lognormal factor with these sigmas; 0 makes declarations exact.
+	RunSigma   float64 `json:"run_sigma"`
+	UsageSigma float64 `json:"usage_sigma"`
 }
 
 // DefaultFaults returns the rates that carobwharf plans for and no faults.
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -111,7 +111,7 @@
 	case "/state":
 		return control, readState{}, nil
 	}
-	return control, nil, nil
+	return decodeTask(ctx)
 }
 
 func decodeCommit(body []byte) (class, operation, error) {
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -136,12 +136,15 @@
 
 // Snapshot is the answer to GET /state.
 type Snapshot struct {
-	Rows    int       `json:"rows"`
-	Objects []string  `json:"objects"`
-	VMs     int       `json:"vms"`
-	Counts  Counts    `json:"counts"`
-	Faults  Faults    `json:"faults"`
-	At      time.Time `json:"at"`
+	Rows    int      `json:"rows"`
+	Objects []string `json:"objects"`
+	VMs     int      `json:"vms"`
+	Runs    int      `json:"runs"` // running and recently ended
+
+	Counts Counts     `json:"counts"`
+	Tasks  TaskCounts `json:"tasks"`
+	Faults Faults     `json:"faults"`
+	At     time.Time  `json:"at"`
 }
 
 type readState struct{}
@@ -151,7 +154,9 @@
 		Rows:    len(s.table.cells),
 		Objects: slices.Sorted(maps.Keys(s.objects)),
 		VMs:     len(s.fleet.list(s.now())),
+		Runs:    len(s.tasks.runs),
 		Counts:  s.counts,
+		Tasks:   s.tasks.counts,
 		Faults:  s.faults,
 		At:      s.now(),
 	})
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -25,6 +25,7 @@
 	Seed       uint64 // of the probabilities
 	Faults     Faults
 	VMs        []structs.VM
+	Workers    []store.Worker
 	RebootTime time.Duration // for which a rebooting VM is not in the list
 	Power      Power         // makes reboots real; nil only changes the list
 }
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -16,8 +16,13 @@
 	control class = iota // no faults, no limits
 	read
 	write
+	workerRead // workers have their own paths; the store's rates do not apply
+	workerWrite
 )
 
+// changes reports whether calls of the class change something.
+func (c class) changes() bool { return c == write || c == workerWrite }
+
 // operation is a decoded call. apply runs on the state duty only.
 type operation interface {
 	apply(s *state) reply
@@ -45,6 +50,7 @@
 type Counts struct {
 	Reads       int64 `json:"reads"`
 	Writes      int64 `json:"writes"`
+	WorkerCalls int64 `json:"worker_calls"`
 	Limited     int64 `json:"limited"` // refused by a rate limit
 	Refused     int64 `json:"refused"` // refused by outage or refuse_write
 	LostAnswers int64 `json:"lost_answers"`
@@ -59,6 +65,7 @@
 	table   *table
 	objects map[string][]byte
 	fleet   fleet
+	tasks   *tasks
 	reboots *ring.Ring[reboot] // nil if reboots only change the list
 	rng     *rand.Rand
 	reads   bucket
@@ -76,6 +83,7 @@
 		cfg:          cfg,
 		faults:       cfg.Faults,
 		table:        newTable(),
+		tasks:        newTasks(cfg.Workers),
 		objects:      make(map[string][]byte),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, 1)),
 		now:          time.Now,
@@ -112,7 +120,7 @@
 	}
 	r := c.op.apply(s)
 	r.delay = time.Duration(s.faults.Delay)
-	if c.class == write && s.chance(s.faults.LoseAnswer) {
+	if c.class.changes() && s.chance(s.faults.LoseAnswer) {
 		r.lose = true
 		s.counts.LostAnswers++
 	}
@@ -128,13 +136,16 @@
 
 // refuse decides whether the call is answered without being executed.
 func (s *state) refuse(c class) (reply, bool) {
-	if s.faults.Outage || c == write && s.chance(s.faults.RefuseWrite) {
+	if s.faults.Outage || c.changes() && s.chance(s.faults.RefuseWrite) {
 		s.counts.Refused++
 		return problem(statusUnavailable, "platform unavailable"), true
 	}
 	limit, rate, count := &s.reads, s.faults.ReadRate, &s.counts.Reads
-	if c == write {
+	switch c {
+	case write:
 		limit, rate, count = &s.writes, s.faults.WriteRate, &s.counts.Writes
+	case workerRead, workerWrite:
+		rate, count = 0, &s.counts.WorkerCalls
 	}
 	if !limit.take(rate, s.now()) {
 		s.counts.Limited++
