--- a/dispatch/leave.go
+++ b/dispatch/leave.go
@@ -11,10 +11,7 @@
 // number of requests in flight. The VM is used again only when its ownership
 // row has a later epoch, and not before the hold time.
 func (s *Set) Drain(now time.Time, vm string, epoch uint64) int {
-	id := s.Lookup(vm)
-	if id == None {
-		return 0
-	}
+	id := s.ensure(vm) // the order may come before the first view of the VM
 	e := &s.endpoints[id]
 	if e.owner.Epoch > epoch {
 		return int(e.inFlight) // an order from before the row that is known
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -72,7 +72,7 @@
 		s.endpoints = append(s.endpoints, endpoint{})
 	}
 	e := &s.endpoints[id]
-	e.pool, e.level, e.slowness = NoPool, -1, 1
+	e.vm.ID, e.pool, e.level, e.slowness = vm, NoPool, -1, 1
 	s.byVM[vm] = id
 	return id
 }
