--- a/daemon/gateway/dispatcher/pump.go
+++ b/daemon/gateway/dispatcher/pump.go
@@ -134,7 +134,10 @@
 			m.queue.Remove(r.ticket)
 			m.giveUp(r, structs.ReasonDraining)
 		case claiming:
+			// The process may end before the journal's reply comes.
+			r.mayExist = true
 			m.answer(r, m.refusal(r, m.outcome(r), structs.ReasonDraining))
+			m.surrender(r)
 		case sending:
 			m.answer(r, m.refusal(r, structs.OutcomeUnknown, structs.ReasonDraining))
 		case storing:
