--- /dev/null
+++ b/peer/operator/server.go
@@ -0,0 +1,181 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/settings"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// unauthorizedBody bounds the body of a call without the key, in bytes, so
+// that it cannot make the server read a whole set.
+const unauthorizedBody = 1 << 10
+
+// Options configures NewServer. All fields are required.
+type Options struct {
+	Addr    string // IP:port
+	Key     string // that every call carries
+	Timeout time.Duration
+	Handler Handler
+}
+
+// Server is the operators' API.
+type Server struct {
+	*listener
+	opts   Options
+	key    [sha256.Size]byte
+	routes map[string]route
+}
+
+type route func(ctx context.Context, http *fasthttp.RequestCtx) (any, error)
+
+// NewServer listens on the address. Run serves calls.
+func NewServer(o Options) (*Server, error) {
+	if o.Key == "" {
+		return nil, errors.New("operators' API: the key is empty; set operator_key in [controller]")
+	}
+	s := &Server{opts: o, key: sha256.Sum256([]byte(o.Key))}
+	s.routes = map[string]route{
+		"POST /v1/config": s.submit,
+		"POST /v1/check":  s.check,
+		"GET /v1/config":  s.config,
+		"GET /v1/diff":    s.diff,
+		"GET /v1/status":  s.status,
+		"POST /v1/drain":  s.drain,
+	}
+	l, err := listen(o.Addr, settings.MaxObjectBytes, s.serve)
+	if err != nil {
+		return nil, err
+	}
+	l.http.HeaderReceived = s.limitUnauthorized
+	s.listener = l
+	return s, nil
+}
+
+func (s *Server) limitUnauthorized(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.authorized(h) {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: unauthorizedBody}
+}
+
+// authorized compares hashes in constant time, so that neither the content
+// nor the length of the key can be measured.
+func (s *Server) authorized(h *fasthttp.RequestHeader) bool {
+	key, found := strings.CutPrefix(string(h.Peek("Authorization")), "Bearer ")
+	got := sha256.Sum256([]byte(key))
+	return subtle.ConstantTimeCompare(got[:], s.key[:]) == 1 && found
+}
+
+func (s *Server) serve(http *fasthttp.RequestCtx) {
+	if !s.authorized(&http.Request.Header) {
+		writeError(http, &Error{Code: CodeUnauthorized, Message: "the call does not carry the operators' key"})
+		return
+	}
+	handle := s.routes[string(http.Method())+" "+string(http.Path())]
+	if handle == nil {
+		writeError(http, &Error{Code: CodeNotFound, Message: "no such call: " + string(http.Method()) + " " + string(http.Path())})
+		return
+	}
+	// The context does not end with the connection: a submission in progress
+	// is finished even if its operator hangs up.
+	ctx, cancel := context.WithTimeout(context.Background(), s.opts.Timeout)
+	defer cancel()
+	reply, err := handle(ctx, http)
+	if err != nil {
+		writeError(http, asError(err))
+		return
+	}
+	if reply != nil {
+		writeJSON(http, reply)
+	}
+}
+
+func (s *Server) submit(ctx context.Context, http *fasthttp.RequestCtx) (any, error) {
+	base, err := unsigned(http, "base", true)
+	if err != nil {
+		return nil, err
+	}
+	f, err := parseSet(http)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.opts.Handler.Submit(ctx, SubmitRequest{ID: string(http.QueryArgs().Peek("id")), Base: base, Set: f.Set})
+	var e *Error
+	if errors.As(err, &e) {
+		locate(f, e.Findings)
+	}
+	return reply, err
+}
+
+func (s *Server) check(ctx context.Context, http *fasthttp.RequestCtx) (any, error) {
+	f, err := parseSet(http)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.opts.Handler.Check(ctx, CheckRequest{Set: f.Set})
+	locate(f, reply.Findings)
+	return reply, err
+}
+
+// locate fills in the lines of findings.
+func locate(f *settings.ObjectFile, findings []Finding) {
+	for i := range findings {
+		kind, name, _ := strings.Cut(findings[i].Object, " ")
+		findings[i].Line = f.Line(structs.Ref{Kind: structs.Kind(kind), Name: name}, findings[i].Field)
+	}
+}
+
+// config writes JSON, or INI text with the generation in a header.
+func (s *Server) config(ctx context.Context, http *fasthttp.RequestCtx) (any, error) {
+	c, err := s.opts.Handler.Config(ctx)
+	if err != nil || string(http.QueryArgs().Peek("format")) != "ini" {
+		return c, err
+	}
+	text, err := settings.FormatObjects(&c.Set)
+	if err != nil {
+		return nil, err
+	}
+	http.Response.Header.Set("X-Generation", strconv.FormatUint(c.Generation, 10))
+	http.SetContentType("text/plain; charset=utf-8")
+	http.SetBody(text)
+	return nil, nil
+}
+
+func (s *Server) diff(ctx context.Context, http *fasthttp.RequestCtx) (any, error) {
+	from, err := unsigned(http, "from", true)
+	if err != nil {
+		return nil, err
+	}
+	to, err := unsigned(http, "to", false)
+	if err != nil {
+		return nil, err
+	}
+	return s.opts.Handler.Diff(ctx, DiffRequest{From: from, To: to})
+}
+
+func (s *Server) status(ctx context.Context, _ *fasthttp.RequestCtx) (any, error) {
+	return s.opts.Handler.Status(ctx)
+}
+
+func (s *Server) drain(ctx context.Context, http *fasthttp.RequestCtx) (any, error) {
+	var r DrainRequest
+	if err := json.Unmarshal(http.PostBody(), &r); err != nil {
+		return nil, &Error{Code: CodeBadRequest, Message: "want a JSON object with VM and Reason: " + err.Error()}
+	}
+	if r.VM == "" {
+		return nil, &Error{Code: CodeBadRequest, Message: "VM is empty"}
+	}
+	return s.opts.Handler.Drain(ctx, r)
+}
+
+func parseGeneration(text string) (uint64, error) { return strconv.ParseUint(text, 10, 64) }
