Add the operators' commands and the two roles

check, submit, diff, status, dump and drain, and controller and gateway, which load their settings and call a function that the wiring sets. Exit code 2 is for wrong flags, arguments, settings or key, 3 for a conflict. The key comes from a file, the settings or the environment, never from a flag, because other users of the machine can read a command line.

A test runs one operator's session through the commands against a controller with a platform in memory: lost answer, conflict, invalid set.

--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,111 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/carobwharf/carobwharf/configcheck"
+	"github.com/carobwharf/carobwharf/publication"
+	"github.com/carobwharf/carobwharf/settings"
+)
+
+// located is a finding with its place in the file.
+type located struct {
+	File    string
+	Line    int
+	Object  string
+	Field   string
+	Problem string
+}
+
+func newCheckCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check an object set",
+		Long: `Checks the syntax and the values of an object set and then the set as a whole:
+references, shares, budgets, stop plans. All problems are printed with file and
+line. The exit code is 0 if the set may be submitted and 1 if it may not.
+No controller is contacted.`,
+		Example:           "  carobwharf check examples/lintang/fleet.ini\n  carobwharf check --json - < fleet.ini",
+		Args:              usageArgs(cobra.ExactArgs(1)),
+		ValidArgsFunction: completeINI,
+	}
+	asJSON := jsonFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		data, err := readInput(cmd, args[0])
+		if err != nil {
+			return err
+		}
+		findings, objects, err := checkText(args[0], data)
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			err = printJSON(cmd, findings)
+		} else {
+			err = printFindings(cmd, args[0], findings, objects)
+		}
+		if len(findings) > 0 {
+			return errors.Join(err, fmt.Errorf("%s: %d problems", args[0], len(findings)))
+		}
+		return err
+	}
+	return cmd
+}
+
+// checkText returns the problems of the text, of its syntax if there are any
+// and otherwise of the set, and the number of objects.
+func checkText(file string, data []byte) ([]located, int, error) {
+	found := []located{}
+	f, err := settings.ParseObjects(file, data)
+	var problems *settings.Problems
+	if errors.As(err, &problems) {
+		for _, p := range problems.List {
+			found = append(found, located{File: file, Line: p.Line, Object: p.Section, Field: p.Key,
+				Problem: fmt.Sprintf("%q: want %s", p.Value, p.Want)})
+		}
+		return found, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, p := range configcheck.Check(&f.Set) {
+		l := located{File: file, Line: f.Line(p.Object, p.Field), Field: p.Field, Problem: p.Problem}
+		if p.Object.Kind != "" {
+			l.Object = p.Object.String()
+		}
+		found = append(found, l)
+	}
+	return found, len(publication.Refs(&f.Set)), nil
+}
+
+func printFindings(cmd *cobra.Command, file string, findings []located, objects int) error {
+	out := cmd.OutOrStdout()
+	if len(findings) == 0 {
+		_, err := fmt.Fprintf(out, "%s: %d objects, no problems\n", file, objects)
+		return err
+	}
+	for _, f := range findings {
+		if _, err := fmt.Fprintln(out, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// String returns the finding as one line that editors can follow.
+func (l located) String() string {
+	text := l.File + ":"
+	if l.Line > 0 {
+		text += fmt.Sprintf("%d:", l.Line)
+	}
+	if l.Object != "" {
+		text += " [" + l.Object + "]"
+	}
+	if l.Field != "" {
+		text += " " + l.Field + ":"
+	}
+	return text + " " + l.Problem
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,155 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/daemon/controller"
+	"github.com/carobwharf/carobwharf/internal/fakestore"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/settings"
+)
+
+const lintang = "../examples/lintang/fleet.ini"
+
+// run executes the binary's command line and returns its output, its error
+// output and its exit code.
+func run(t *testing.T, args ...string) (string, string, int) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	root := NewRoot()
+	root.SetArgs(args)
+	root.SetOut(&out)
+	root.SetErr(&errOut)
+	err := root.ExecuteContext(t.Context())
+	if err != nil {
+		errOut.WriteString(err.Error())
+	}
+	return out.String(), errOut.String(), ExitCode(err)
+}
+
+// startController runs a controller on free ports and returns the flags that
+// reach it, and its admin address.
+func startController(t *testing.T, p *fakestore.Platform) (remote []string, admin string) {
+	s := settings.DefaultProcess()
+	s.ID, s.DataCentre = "controller-1", "dc-a"
+	s.View.ConfigPoll = 5 * time.Millisecond
+	s.Controller.OperatorKey = "0123456789abcdef"
+	c, err := controller.New(controller.Options{
+		Settings: s, Platform: p, Log: hclog.NewNullLogger(), Metrics: metrics.New(), Version: ReadBuildInfo()})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	t.Setenv(keyVariable, s.Controller.OperatorKey)
+	return []string{"--addr", c.OperatorAddr(), "--timeout", "10s"}, c.AdminAddr()
+}
+
+func TestCheck(t *testing.T) {
+	for _, path := range []string{lintang, "../examples/sencau/fleet.ini"} {
+		out, _, code := run(t, "check", path)
+		require.Equal(t, ExitOK, code, out)
+	}
+	bad := filepath.Join(t.TempDir(), "bad.ini")
+	require.NoError(t, os.WriteFile(bad, []byte("[pool a]\nmin = 5\ntarget = 3\n"), 0o600))
+	out, _, code := run(t, "check", bad)
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, out, "bad.ini:2: [pool a] min: 5 is above target 3\n")
+	out, _, _ = run(t, "check", "--json", bad)
+	var found []located
+	require.NoError(t, json.Unmarshal([]byte(out), &found))
+	require.Len(t, found, 2)
+	_, _, code = run(t, "check", "/nonexistent")
+	require.Equal(t, ExitUsage, code)
+	_, _, code = run(t, "check", "--nonsense")
+	require.Equal(t, ExitUsage, code)
+}
+
+// One operator's whole session, with a lost answer and a lost race.
+func TestSession(t *testing.T) {
+	p := fakestore.New(t.Context())
+	remote, admin := startController(t, p)
+	with := func(args ...string) (string, string, int) { return run(t, append(args, remote...)...) }
+
+	p.LoseAnswers.Store(1)
+	out, errOut, code := with("submit", "--base", "0", lintang)
+	require.Equal(t, ExitOK, code, errOut)
+	require.Equal(t, "generation 1\n", out)
+	require.Eventually(t, func() bool {
+		out, _, _ = with("status")
+		return strings.Contains(out, "generation   1")
+	}, 10*time.Second, time.Millisecond)
+
+	text, err := os.ReadFile(lintang)
+	require.NoError(t, err)
+	edit := func(name, from, to string) string {
+		path := filepath.Join(t.TempDir(), name)
+		require.NoError(t, os.WriteFile(path, bytes.Replace(text, []byte(from), []byte(to), 1), 0o600))
+		return path
+	}
+	slots, weight := edit("a.ini", "slots  = 200", "slots  = 250"), edit("b.ini", "slots  = 200", "slots  = 300")
+	out, _, _ = with("diff", slots)
+	require.Equal(t, "~ [team dealers]\n", out)
+	_, errOut, code = with("submit", "--base", "1", "--json", slots)
+	require.Equal(t, ExitOK, code, errOut)
+	_, errOut, code = with("submit", "--base", "1", weight)
+	require.Equal(t, ExitConflict, code)
+	require.Contains(t, errOut, "team dealers")
+	require.Eventually(t, func() bool {
+		out, _, _ = with("diff", "--since", "1")
+		return out == "~ [team dealers]\n"
+	}, 10*time.Second, time.Millisecond)
+
+	_, errOut, code = with("submit", "--base", "2", edit("c.ini", "pool        = audit", "pool        = gone"))
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errOut, `c.ini:108: [service audit-bundle] pool: pool "gone" does not exist`)
+	_, errOut, code = with("drain", "vm-1")
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errOut, "drains no VMs")
+	out, errOut, code = run(t, "dump", "--addr", admin)
+	require.Equal(t, ExitOK, code, errOut)
+	require.Contains(t, out, `"Name": "publisher"`)
+}
+
+func TestRemoteErrors(t *testing.T) {
+	p := fakestore.New(t.Context())
+	remote, _ := startController(t, p)
+	p.Down.Store(true)
+	_, errOut, code := run(t, append([]string{"submit", "--base", "0", lintang}, remote...)...)
+	require.Equal(t, ExitFailure, code)
+	require.Contains(t, errOut, "nothing was published")
+	t.Setenv(keyVariable, "wrong")
+	_, errOut, code = run(t, append([]string{"status"}, remote...)...)
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, errOut, "operators' key")
+	_, _, code = run(t, "status")
+	require.Equal(t, ExitUsage, code)
+	_, _, code = run(t, append([]string{"submit", lintang}, remote...)...)
+	require.Equal(t, ExitUsage, code)
+}
+
+// A role that the binary lacks and wrong settings must not start anything.
+func TestDaemonsLoadSettings(t *testing.T) {
+	for _, role := range []string{"gateway", "controller"} {
+		for _, deployment := range []string{"lintang", "sencau"} {
+			_, err := settings.ReadProcess("../examples/" + deployment + "/" + role + "-1.ini")
+			require.NoError(t, err)
+		}
+		_, errOut, code := run(t, role, "--settings", lintang)
+		require.Equal(t, ExitUsage, code)
+		require.Contains(t, errOut, "one of the sections")
+	}
+}
--- /dev/null
+++ b/cli/drain.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/carobwharf/carobwharf/peer/operator"
+)
+
+func newDrainCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "drain VM",
+		Short:   "Drain a VM",
+		Long:    "Asks the controller to drain a VM within the budgets of its pool. No request in flight is cut off.",
+		Example: `  carobwharf drain --settings controller-1.ini --reason "fan failure" vm-17`,
+		Args:    usageArgs(cobra.ExactArgs(1)),
+	}
+	asJSON, r := jsonFlag(cmd), remoteFlags(cmd)
+	reason := cmd.Flags().String("reason", "operator", "reason that is recorded with the VM")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		reply, err := call(cmd, r, func(ctx context.Context, c *operator.Client) (operator.DrainReply, error) {
+			return c.Drain(ctx, operator.DrainRequest{VM: args[0], Reason: *reason})
+		})
+		if err != nil {
+			return err
+		}
+		if *asJSON {
+			return printJSON(cmd, reply)
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "VM %s of pool %s: %s, epoch %d\n", reply.VM, reply.Pool, reply.State, reply.Epoch)
+		return err
+	}
+	return cmd
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -21,6 +21,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
+	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd())
+	root.AddCommand(newControllerCmd(), newGatewayCmd())
 	root.AddCommand(newVersionCmd())
 	return root
 }
