--- a/cli/root.go
+++ b/cli/root.go
@@ -21,11 +21,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(
-		newVersionCmd(),
-		newStandinCmd(),
-		newLoadCmd(),
-		newDemoCmd(),
-	)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
+	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd())
+	root.AddCommand(newControllerCmd(), newGatewayCmd())
+	root.AddCommand(newStandinCmd(), newLoadCmd(), newDemoCmd())
+	root.AddCommand(newVersionCmd())
 	return root
 }
