Add job placement

Cause: jobs declare sizes and run times that are far off, teams compete, workers fail everything or fall silent, and urgent work must start at once on a full fleet. Ruled out: a search over all workers for each job (first-fit and best-fit stay as baselines); serving queues by repeated minimum search, which is quadratic in the number of queues when nothing fits, replaced by one heap for each pass; excluding a worker for good after a job failed on it: the property test found a job that fits one worker only and so never ran again. A worker that left the fleet does not free its jobs before their leases end. Which policy starts urgent work sooner and ends work earlier is not measured yet.

--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,355 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+var (
+	t0    = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	plain = WorkerType{Name: "plain", Capacity: Size{16000, 32000, 0}, Watts: 300, Price: 1}
+	accel = WorkerType{Name: "accel", Capacity: Size{32000, 64000, 4}, Watts: 900, Price: 4}
+)
+
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
+func fleet(opt Options, n int) *Scheduler {
+	s := New(opt, 0)
+	for i := range n {
+		s.AddWorker(fmt.Sprintf("w%d", i), plain)
+	}
+	return s
+}
+
+func batch(id string, cores int) Job {
+	return Job{ID: id, Team: "t", Kind: "k", Class: structs.ClassBatch, Size: Size{cores * 1000, 1000, 0}, Runtime: time.Minute}
+}
+
+func urgent(id string, cores int) Job {
+	j := batch(id, cores)
+	j.Class = structs.ClassUrgent
+	return j
+}
+
+func kinds(cs []Command) (out []string) {
+	for _, c := range cs {
+		out = append(out, string(c.Kind)+" "+c.Job)
+	}
+	return out
+}
+
+func Example() {
+	s := New(Options{}, 0)
+	s.AddWorker("w0", plain)
+	fmt.Println(s.Submit(Job{ID: "big", Class: structs.ClassBatch, Size: Size{64000, 1000, 0}}, t0))
+	_ = s.Submit(Job{ID: "report", Class: structs.ClassBatch, Size: Size{16000, 1000, 0}, Checkpoints: true}, t0)
+	start := s.Place(t0, 10)[0]
+	fmt.Println(start.Kind, start.Job, start.Worker)
+	_ = s.Submit(Job{ID: "quote", Class: structs.ClassUrgent, Size: Size{1000, 1000, 0}}, at(time.Second))
+	fmt.Println(kinds(s.Place(at(time.Second), 10)))
+	_ = s.Report(Report{Kind: ReportCheckpointed, Job: "report", Token: start.Token, Progress: time.Second}, at(2*time.Second))
+	fmt.Println(kinds(s.Place(at(2*time.Second), 10)))
+	// Output:
+	// job big: needs 64000 millicores, the largest worker has 16000
+	// start report w0
+	// [checkpoint report]
+	// [start quote]
+}
+
+// A job that can never run must be refused at once, with the dimension that
+// is short, instead of waiting for ever.
+func TestRefusesImpossibleJobs(t *testing.T) {
+	s := fleet(Options{}, 1)
+	s.AddWorker("a", WorkerType{Name: "accel", Capacity: Size{8000, 64000, 4}})
+	for want, size := range map[string]Size{
+		"needs 17000 millicores": {17000, 1, 0},
+		"needs 64001 MB":         {1, 64001, 0},
+		"needs 5 accelerators":   {1, 1, 5},
+		"together":               {16000, 1, 1},
+		"not positive":           {0, 1, 0},
+	} {
+		require.ErrorContains(t, s.Submit(Job{ID: want, Size: size}, t0), want)
+	}
+	require.NoError(t, s.Submit(batch("b", 1), t0))
+	require.ErrorContains(t, s.Submit(batch("b", 1), t0), "not ended")
+}
+
+// A worker that was paused beyond its lease must not report for a run that
+// another worker has taken over.
+func TestExpiredLeaseIsFenced(t *testing.T) {
+	s := fleet(Options{}, 2)
+	require.NoError(t, s.Submit(batch("b", 1), t0))
+	first := s.Place(t0, 1)[0]
+	require.NoError(t, s.Report(Report{Kind: ReportRunning, Job: "b", Token: first.Token}, at(20*time.Second)))
+	require.Empty(t, s.Place(at(49*time.Second), 1), "the lease was renewed")
+	second := s.Place(at(51*time.Second), 1)[0]
+	require.Greater(t, second.Token, first.Token)
+	require.NotEqual(t, first.Worker, second.Worker)
+	require.ErrorIs(t, s.Report(Report{Kind: ReportFinished, Job: "b", Token: first.Token}, at(52*time.Second)), ErrFenced)
+	require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: "b", Token: second.Token}, at(53*time.Second)))
+	require.ErrorIs(t, s.Report(Report{Kind: ReportFinished, Job: "b", Token: second.Token}, at(53*time.Second)), ErrFenced)
+}
+
+// Tasks of a worker that left must not start elsewhere before their leases
+// have ended.
+func TestRemovedWorkerKeepsLeases(t *testing.T) {
+	s := fleet(Options{}, 1)
+	require.NoError(t, s.Submit(batch("b", 1), t0))
+	w := s.Place(t0, 1)[0].Worker
+	s.AddWorker("other", plain)
+	s.RemoveWorker(w)
+	require.Empty(t, s.Place(at(29*time.Second), 1))
+	require.Equal(t, []string{"start b"}, kinds(s.Place(at(31*time.Second), 1)))
+}
+
+// A worker that fails everything is always free and would attract all jobs;
+// a job that fails everywhere must not quarantine the fleet.
+func TestQuarantineAndRetryLimit(t *testing.T) {
+	s := fleet(Options{}, 8)
+	now := t0
+	failed := 0
+	require.NoError(t, s.Submit(batch("poison", 1), now))
+	for i := range 20 {
+		require.NoError(t, s.Submit(batch(fmt.Sprint("j", i), 1), now))
+	}
+	for range 200 {
+		now = now.Add(time.Second)
+		for _, c := range s.Place(now, 2) {
+			switch {
+			case c.Kind == CommandFailed:
+				require.Equal(t, "poison", c.Job)
+				require.Contains(t, c.Reason, "3 of 3 attempts")
+				failed++
+			case c.Job == "poison" || c.Worker == "w0":
+				require.NoError(t, s.Report(Report{Kind: ReportFailed, Job: c.Job, Token: c.Token}, now))
+			default:
+				require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: c.Job, Token: c.Token}, now))
+			}
+		}
+		require.LessOrEqual(t, s.Quarantined(), 2)
+	}
+	require.Equal(t, 1, failed)
+	require.Zero(t, s.Waiting()+s.Running())
+}
+
+// A wave of cancellations must end waiting jobs at once, stop running ones
+// and never start a cancelled job.
+func TestCancellationWave(t *testing.T) {
+	s := fleet(Options{}, 1)
+	var ids []string
+	for i := range 1000 {
+		ids = append(ids, fmt.Sprint("j", i))
+		require.NoError(t, s.Submit(batch(ids[i], 4), t0))
+	}
+	starts := s.Place(t0, 1000)
+	require.Len(t, starts, 4)
+	require.Equal(t, 1000, s.Cancel(ids...))
+	require.Zero(t, s.Cancel("unknown"))
+	stops := s.Place(t0, 1000)
+	require.Len(t, stops, 4)
+	for _, c := range stops {
+		require.Equal(t, CommandStop, c.Kind)
+		require.NoError(t, s.Report(Report{Kind: ReportStopped, Job: c.Job, Token: c.Token}, t0))
+	}
+	require.Empty(t, s.Place(at(time.Hour), 1000))
+	require.Zero(t, s.Waiting())
+}
+
+// Urgent work must get room by the mildest means that suffices, and batch
+// work must get its processors back.
+func TestThrottlesBeforeStopping(t *testing.T) {
+	s := fleet(Options{}, 1)
+	j := batch("slow", 16)
+	j.Throttleable, j.Checkpoints = true, true
+	require.NoError(t, s.Submit(j, t0))
+	token := s.Place(t0, 9)[0].Token
+	require.NoError(t, s.Submit(urgent("u", 8), t0))
+	c := s.Place(t0, 9)
+	require.Equal(t, []string{"throttle slow"}, kinds(c))
+	require.Equal(t, 8000, c[0].Size.MilliCores)
+	require.NoError(t, s.Report(Report{Kind: ReportThrottled, Job: "slow", Token: token}, t0))
+	c = s.Place(t0, 9)
+	require.Equal(t, []string{"start u"}, kinds(c))
+	require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: "u", Token: c[0].Token}, at(time.Second)))
+	c = s.Place(at(time.Second), 9)
+	require.Equal(t, []string{"restore slow"}, kinds(c))
+	require.Equal(t, 16000, c[0].Size.MilliCores)
+}
+
+// A checkpoint that hangs must not hold urgent work up for ever, and saved
+// progress must reach the next run.
+func TestHungCheckpointBecomesStop(t *testing.T) {
+	s := fleet(Options{}, 1)
+	j := batch("b", 16)
+	j.Checkpoints = true
+	require.NoError(t, s.Submit(j, t0))
+	token := s.Place(t0, 9)[0].Token
+	require.NoError(t, s.Submit(urgent("u", 1), t0))
+	require.Equal(t, []string{"checkpoint b"}, kinds(s.Place(t0, 9)))
+	require.Empty(t, s.Place(at(10*time.Second), 9))
+	require.Equal(t, []string{"stop b"}, kinds(s.Place(at(11*time.Second), 9)))
+	require.NoError(t, s.Report(Report{Kind: ReportCheckpointed, Job: "b", Token: token, Progress: 7 * time.Second}, at(12*time.Second)))
+	c := s.Place(at(12*time.Second), 9)
+	require.Equal(t, []string{"start u"}, kinds(c))
+	require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: "u", Token: c[0].Token}, at(13*time.Second)))
+	c = s.Place(at(13*time.Second), 9)
+	require.Equal(t, []string{"start b"}, kinds(c))
+	require.Equal(t, 7*time.Second, c[0].Progress)
+}
+
+// Under a lasting flood of small urgent jobs, a batch job that needs a whole
+// worker must still start.
+func TestLargeBatchJobStartsDuringFlood(t *testing.T) {
+	s := fleet(Options{}, 2)
+	now, n := t0, 0
+	var running []Command
+	for ; n < 32; n++ {
+		require.NoError(t, s.Submit(urgent(fmt.Sprint("u", n), 1), now))
+	}
+	running = s.Place(now, 100)
+	big := batch("big", 16)
+	big.Team = "other"
+	require.NoError(t, s.Submit(big, now))
+	for now.Before(at(2 * time.Hour)) {
+		now = now.Add(5 * time.Second)
+		c := running[0]
+		running = running[1:]
+		for _, r := range running {
+			require.NoError(t, s.Report(Report{Kind: ReportRunning, Job: r.Job, Token: r.Token}, now))
+		}
+		require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: c.Job, Token: c.Token}, now))
+		for range 2 {
+			n++
+			require.NoError(t, s.Submit(urgent(fmt.Sprint("u", n), 1), now))
+		}
+		for _, c := range s.Place(now, 100) {
+			if c.Job == "big" {
+				return
+			}
+			running = append(running, c)
+		}
+	}
+	t.Fatal("the batch job did not start within 2 hours")
+}
+
+// Weights must decide between teams that both want everything, and a quota
+// must hold however empty the fleet is.
+func TestWeightsAndQuotas(t *testing.T) {
+	s := fleet(Options{}, 4)
+	s.SetTeam(structs.Team{Name: "a", Weight: 3})
+	s.SetTeam(structs.Team{Name: "b", Weight: 1})
+	s.SetTeam(structs.Team{Name: "c", Weight: 9, Jobs: 2})
+	for i := range 64 {
+		for _, team := range []string{"a", "b", "c"} {
+			j := batch(fmt.Sprint(team, i), 1)
+			j.Team = team
+			require.NoError(t, s.Submit(j, t0))
+		}
+	}
+	count := map[byte]int{}
+	for _, c := range s.Place(t0, 42) {
+		count[c.Job[0]]++
+	}
+	require.Equal(t, map[byte]int{'a': 30, 'b': 10, 'c': 2}, count)
+}
+
+// Declared sizes that are far off must stop counting after a few runs.
+func TestCorrectsDeclaredSizes(t *testing.T) {
+	s := fleet(Options{}, 1)
+	for i := range 10 {
+		require.NoError(t, s.Submit(batch(fmt.Sprint(i), 1), at(time.Duration(i)*time.Minute)))
+		c := s.Place(at(time.Duration(i)*time.Minute), 1)[0]
+		require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: c.Job, Token: c.Token,
+			Used: Size{500, 8000, 0}, Ran: 3 * time.Minute}, at(time.Duration(i)*time.Minute)))
+	}
+	j := batch("x", 1)
+	size := s.learn.Size(&j)
+	require.InDelta(t, 500, size.MilliCores, 5)
+	require.InDelta(t, 8000, size.MemoryMB, 80)
+	require.InDelta(t, 180, s.learn.Runtime(&j, "plain").Seconds(), 2)
+	for i := range 9 {
+		require.NoError(t, s.Submit(batch(fmt.Sprint("x", i), 1), at(time.Hour)))
+	}
+	require.Len(t, s.Place(at(time.Hour), 100), 4, "32 GB hold four jobs of 8 GB, whatever they declare")
+}
+
+// The books must balance after any order of events, and every job must end:
+// lost capacity or lost jobs would show only after days.
+func TestBooksBalance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Options{Policy: Policy(rapid.IntRange(0, 4).Draw(t, "policy"))}, 0)
+		for i := range 4 {
+			s.AddWorker(fmt.Sprint("p", i), plain)
+		}
+		s.AddWorker("a", accel)
+		now, live := t0, map[string]uint64{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "dt")) * time.Second)
+			j := batch(fmt.Sprint("j", i), rapid.IntRange(1, 20).Draw(t, "cores"))
+			j.Team = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "team")
+			j.Class = rapid.SampledFrom([]structs.Class{structs.ClassUrgent, structs.ClassStandard, structs.ClassBatch}).Draw(t, "class")
+			j.Checkpoints, j.Throttleable = rapid.Bool().Draw(t, "saves"), rapid.Bool().Draw(t, "throttles")
+			require.NoError(t, s.Submit(j, now))
+			for _, c := range s.Place(now, 100) {
+				live[c.Job] = c.Token
+			}
+			id := fmt.Sprint("j", rapid.IntRange(0, i).Draw(t, "which"))
+			kind := rapid.SampledFrom([]ReportKind{ReportRunning, ReportThrottled, ReportCheckpointed, ReportStopped, ReportFinished, ReportFailed, "cancel"}).Draw(t, "report")
+			if kind == "cancel" {
+				s.Cancel(id)
+			} else {
+				_ = s.Report(Report{Kind: kind, Job: id, Token: live[id], Used: Size{rapid.IntRange(0, 9000).Draw(t, "used"), 500, 0}}, now)
+			}
+			checkBooks(t, s)
+		}
+		for range 2000 {
+			now = now.Add(time.Second)
+			for _, c := range s.Place(now, 100) {
+				if c.Kind == CommandStart {
+					require.NoError(t, s.Report(Report{Kind: ReportFinished, Job: c.Job, Token: c.Token}, now))
+				}
+			}
+		}
+		checkBooks(t, s)
+		require.Empty(t, s.jobs)
+	})
+}
+
+func checkBooks(t *rapid.T, s *Scheduler) {
+	running := 0
+	use := map[*team]Size{}
+	for _, w := range s.workers {
+		var alloc, give Size
+		for _, j := range w.tasks {
+			require.Same(t, w, j.worker)
+			alloc = alloc.plus(j.alloc)
+			use[j.team] = use[j.team].plus(j.alloc)
+			if j.run.batch {
+				give = give.plus(j.alloc)
+			}
+		}
+		running += len(w.tasks)
+		require.Equal(t, w.kind.Capacity, w.free.plus(alloc))
+		require.Equal(t, give, w.batch)
+		if w.held != nil {
+			require.Same(t, w, w.held.hold)
+		}
+		if w.bucket >= 0 {
+			require.Same(t, w, w.kind.buckets[w.bucket][w.pos])
+			require.Equal(t, w.kind.bucketOf(w.free), w.bucket)
+			for _, full := range w.kind.failed {
+				require.False(t, full.Fits(w.free) && w.held == nil && !w.probation, "%v fits %s", full, w.id)
+			}
+		}
+	}
+	require.Equal(t, running, s.Running())
+	for _, tm := range s.teams {
+		require.Equal(t, use[tm], tm.use)
+	}
+}
--- /dev/null
+++ b/placement/queue.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// backfill is how many waiting jobs of a queue are tried when the first does
+// not fit. A large job that is passed over for long gets a reservation.
+const backfill = 8
+
+// Levels of urgency; a lower level goes first.
+const (
+	levelUrgent = iota
+	levelStandard
+	levelBatch
+	levels
+)
+
+func levelOf(c structs.Class) int {
+	switch c {
+	case structs.ClassUrgent:
+		return levelUrgent
+	case structs.ClassBatch:
+		return levelBatch
+	}
+	return levelStandard
+}
+
+// queue holds the waiting jobs of one team and class, oldest first. Jobs that
+// started or were cancelled stay in the slice until the front passes them or
+// they are the majority.
+type queue struct {
+	team   *team
+	level  int
+	jobs   []waiting
+	dead   int
+	active bool // in the scheduler's list of queues
+	fresh  bool // got a job since it was last served
+	// Value of Scheduler.epochFor when nothing fitted.
+	blockedAt uint64
+
+	// What the queue is ordered by in a pass.
+	rank  int
+	share float64
+	first uint64
+}
+
+// waiting is a place in a queue. It is dead once the job has left it, even if
+// the job is queued again later.
+type waiting struct {
+	job    *job
+	ticket int
+}
+
+func (w waiting) alive() bool { return w.job.queued && w.job.ticket == w.ticket }
+
+type team struct {
+	structs.Team
+	queues  [levels]queue
+	running int
+	use     Size
+}
+
+func newTeam(t structs.Team) *team {
+	if t.Weight <= 0 {
+		t.Weight = 1
+	}
+	tm := &team{Team: t}
+	for l := range tm.queues {
+		tm.queues[l] = queue{team: tm, level: l}
+	}
+	return tm
+}
+
+func (t *team) overQuota() bool { return t.Jobs > 0 && t.running >= t.Jobs }
+
+// push adds a job in order of submission: a job that is queued again goes
+// before younger ones.
+func (q *queue) push(j *job) {
+	i := len(q.jobs)
+	for i > 0 && q.jobs[i-1].job.Submitted.After(j.Submitted) {
+		i--
+	}
+	j.queued, q.fresh = true, true
+	j.ticket++
+	q.jobs = slices.Insert(q.jobs, i, waiting{j, j.ticket})
+}
+
+// head returns the oldest waiting job, or nil.
+func (q *queue) head() *job {
+	q.trim()
+	if len(q.jobs) == 0 {
+		return nil
+	}
+	return q.jobs[0].job
+}
+
+func (q *queue) trim() {
+	if q.dead > len(q.jobs)/2 {
+		q.jobs = slices.DeleteFunc(q.jobs, func(w waiting) bool { return !w.alive() })
+		q.dead = 0
+	}
+	for len(q.jobs) > 0 && !q.jobs[0].alive() {
+		q.jobs[0] = waiting{}
+		q.jobs = q.jobs[1:]
+		q.dead--
+	}
+}
+
+// take marks a job as no longer waiting.
+func (q *queue) take(j *job) {
+	j.queued = false
+	q.dead++
+}
+
+// urgency returns the queue's level at the given time: waiting raises a job
+// by one level for each step.
+func (q *queue) urgency(head *job, now time.Time, step time.Duration) int {
+	return max(0, q.level-int(now.Sub(head.Submitted)/step))
+}
+
+// order is the heap of the queues that one pass serves: the most urgent first,
+// then that of the team with the least use for its weight, then the oldest.
+type order []*queue
+
+func (o order) Len() int { return len(o) }
+func (o order) Less(i, j int) bool {
+	a, b := o[i], o[j]
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.share != b.share {
+		return a.share < b.share
+	}
+	return a.first < b.first
+}
+func (o order) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+func (o *order) Push(x any)   { *o = append(*o, x.(*queue)) }
+func (o *order) Pop() any {
+	old := *o
+	q := old[len(old)-1]
+	*o = old[:len(old)-1]
+	return q
+}
+
+// collect returns the queues to serve in a pass. It leaves out those that
+// found no room since a worker last had more of it, and drops empty ones from
+// the active list.
+func (s *Scheduler) collect(now time.Time) *order {
+	o := s.order[:0]
+	kept := s.active[:0]
+	for _, q := range s.active {
+		if !s.rank(q, now) {
+			q.active = false
+			continue
+		}
+		kept = append(kept, q)
+		if !q.team.overQuota() && (q.blockedAt != s.epochFor(q) || q.fresh) {
+			o = append(o, q)
+		}
+	}
+	clear(s.active[len(kept):])
+	s.active, s.order = kept, o
+	heap.Init(&s.order)
+	return &s.order
+}
+
+// epochFor changes when a job of the queue that found no room may find some.
+// Both of its parts only grow.
+func (s *Scheduler) epochFor(q *queue) uint64 {
+	if q.level == levelUrgent {
+		return s.epoch + s.batchStarts
+	}
+	return s.epoch
+}
+
+// rank renews what a queue is ordered by. It returns false if no job waits.
+func (s *Scheduler) rank(q *queue, now time.Time) bool {
+	head := q.head()
+	if head == nil {
+		return false
+	}
+	q.rank = q.urgency(head, now, s.opt.AgeStep)
+	q.share = dominant(q.team.use, s.total) / q.team.Weight
+	q.first = head.number
+	return true
+}
+
+// servePass starts jobs of the queues in order until limit or until nothing
+// more fits. It returns the number of jobs started.
+func (s *Scheduler) servePass(now time.Time, pass, limit int) int {
+	started := 0
+	last := pass == s.passes()-1
+	for o := s.collect(now); o.Len() > 0 && started < limit; {
+		q := (*o)[0]
+		share := q.share
+		switch {
+		case q.team.overQuota() || !s.rank(q, now):
+			heap.Pop(o)
+		case q.share > share: // another queue of the team was served
+			heap.Fix(o, 0)
+		case s.serve(q, now, pass):
+			started++
+			if s.rank(q, now) {
+				heap.Fix(o, 0)
+			} else {
+				heap.Pop(o)
+			}
+		default:
+			if last {
+				q.blockedAt, q.fresh = s.epochFor(q), false
+			}
+			heap.Pop(o)
+		}
+	}
+	return started
+}
