--- a/cli/root.go
+++ b/cli/root.go
@@ -21,6 +21,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newVersionCmd(), newStandinCmd())
 	root.AddCommand(newVersionCmd(), newLoadCmd())
 	return root
 }
