Run both roles from the command line over one wiring

Ruled out: function variables that the binary fills in, since the command package may import the wiring directly and a missing role cannot occur. Change: process.NewGateway and NewController take the settings, logger and metrics; the operators' drain is forwarded to the holder of the pool's lease; the demo submits through the operators' API. Conclusion: one wiring for commands, demo and tests.

--- a/cli/load.go
+++ b/cli/load.go
@@ -4,20 +4,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"github.com/carobwharf/carobwharf/load"
+	"github.com/carobwharf/carobwharf/peer/caller"
 )
 
-// NewCaller returns a client for the gateway at target (IP:port) with at most
-// the given number of connections. It is set by the package that links the
-// client in. A client that is an io.Closer is closed after use.
-var NewCaller func(target string, connections int) (load.Caller, error)
-
 type loadFlags struct {
 	target, mix, history string
 	length               time.Duration
@@ -60,8 +55,6 @@
 		err = fmt.Errorf("--rate %v: want more than 0", rate)
 	case f.length <= 0 || f.inFlight <= 0:
 		err = fmt.Errorf("--for %v, --in-flight %d: want more than 0", f.length, f.inFlight)
-	case NewCaller == nil:
-		err = errors.New("this binary has no caller client")
 	}
 	if err != nil {
 		return &CodedError{Code: ExitUsage, Err: err}
@@ -86,14 +79,9 @@
 		defer file.Close()
 		opt.History = file
 	}
-	caller, err := NewCaller(f.target, f.inFlight)
-	if err != nil {
-		return fmt.Errorf("caller client: %w", err)
-	}
-	if c, ok := caller.(io.Closer); ok {
-		defer c.Close()
-	}
-	res, err := load.Run(cmd.Context(), caller, opt)
+	client := caller.NewClient(caller.ClientConfig{Addr: f.target, MaxConnections: f.inFlight})
+	defer client.Close()
+	res, err := load.Run(cmd.Context(), client, opt)
 	if err != nil {
 		return err
 	}
--- a/daemon/controller/poolkeeper/sim_test.go
+++ b/daemon/controller/poolkeeper/sim_test.go
@@ -79,7 +79,7 @@
 	s.f.OnCommit(s.check)
 	for i := range gateways {
 		g := &gateway{
-			member: structs.Member{ID: fmt.Sprintf("g%d", i), Role: structs.RoleGateway, Addr: fmt.Sprintf("g%d", i)},
+			member:  structs.Member{ID: fmt.Sprintf("g%d", i), Role: structs.RoleGateway, Addr: fmt.Sprintf("g%d", i)},
 			stopped: map[string]uint64{}, inFlight: map[string]int{},
 		}
 		s.gateways = append(s.gateways, g)
--- a/daemon/process/base.go
+++ b/daemon/process/base.go
@@ -1,12 +1,9 @@
 package process
 
 import (
-	"context"
 	"fmt"
-	"io"
-	"time"
+	"sync/atomic"
 
-	"github.com/alitto/pond/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/duty"
@@ -23,12 +20,9 @@
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-const (
-	configWorkers = 4
-	configQueue   = 16
-	// A reading of the fleet takes several calls to the platform.
-	fleetTimeoutCalls = 3
-)
+// fleetTimeoutCalls is the number of call timeouts that a reading of the fleet
+// may take: it needs several calls to the platform.
+const fleetTimeoutCalls = 3
 
 // views are the subscriptions of one consumer to the shared duties. Each ring
 // has capacity 1 and keeps the newest value.
@@ -46,33 +40,34 @@
 	}
 }
 
+// Options is what the command gives to a process.
+type Options struct {
+	Settings settings.Process
+	Log      hclog.Logger
+	Metrics  *metrics.Registry
+	Version  any // shown at the admin address
+}
+
 // base is what both roles have in common.
 type base struct {
-	set      settings.Process
-	log      hclog.Logger
-	reg      *metrics.Registry
-	sup      *duty.Supervisor
-	platform *platform.Client
-	dialer   *link.Dialer
-	server   *link.Server
-	members  *members.Duty
-	watch    *configwatch.Watch
-	pool     pond.Pool // platform and peer calls of the configuration duties
-	transfer *configTransfer
+	opts       Options
+	set        settings.Process
+	platform   *platform.Client
+	dialer     *link.Dialer
+	server     *link.Server
+	client     *member.Client
+	subscribed subscribers
+	news       *ring.Ring[members.ConfigNews]
+	transfer   *configTransfer
+	seen       *latest
 }
 
-// newBase builds the shared duties and registers them on the supervisor. The
-// consumers receive every view.
-func newBase(set settings.Process, role structs.Role, logOutput io.Writer, consumers ...views) (*base, error) {
-	root, err := logging.New(logging.Options{Level: set.Log.Level, Format: logging.Format(set.Log.Format), Output: logOutput})
-	if err != nil {
-		return nil, fmt.Errorf("log settings: %w", err)
-	}
+// newBase opens the listener for peers. The consumers receive every view.
+func newBase(o Options, consumers ...views) (*base, error) {
+	set := o.Settings
 	b := &base{
-		set: set,
-		log: root.With("process", set.ID),
-		reg: metrics.New(),
-		sup: duty.NewSupervisor(),
+		opts: o,
+		set:  set,
 		platform: platform.New(platform.Options{
 			Addr:           set.Platform.Addr,
 			Timeout:        set.Platform.Timeout,
@@ -80,57 +75,58 @@
 			MaxConnAge:     set.Platform.MaxConnAge,
 		}),
 		dialer: link.NewDialer(link.DialerOptions{}),
-		pool:   pond.NewPool(configWorkers, pond.WithQueueSize(configQueue), pond.WithNonBlocking(true)),
+		news:   ring.New[members.ConfigNews]("config-news", 1, ring.KeepNewest),
+		seen:   &latest{},
 	}
+	var err error
 	if b.server, err = link.Listen(set.PeerListen, b.part("peers")); err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	if err := b.addShared(role, consumers); err != nil {
-		return nil, err
-	}
+	own := newViews("transfer")
+	b.subscribed = subscriptions(append(consumers, own))
+	b.client = member.NewClient(b.dialer)
+	b.transfer = newConfigTransfer(b.client, own, b.news, b.seen, b.part("config"))
 	return b, nil
 }
 
-func (b *base) part(name string) hclog.Logger { return logging.For(b.log, name) }
+func (b *base) part(name string) hclog.Logger { return logging.For(b.opts.Log, name) }
 
-func (b *base) addShared(role structs.Role, consumers []views) error {
-	own := newViews("transfer")
-	subscribed := subscriptions(append(consumers, own))
-	news := ring.New[members.ConfigNews]("config-news", 1, ring.KeepNewest)
-	client := member.NewClient(b.dialer)
-	b.transfer = newConfigTransfer(client, own, news, b.part("config"))
-	var err error
-	if b.watch, err = configwatch.New(configwatch.Options{
-		Platform: b.platform, Peers: b.transfer,
-		Poll: b.set.View.ConfigPoll, Timeout: b.set.Platform.Timeout, Pool: b.pool,
-		Subscribers: subscribed.configs, Log: b.part("config"), Metrics: b.reg,
-	}); err != nil {
-		return fmt.Errorf("configuration duty: %w", err)
-	}
-	if b.members, err = members.New(members.Options{
+// addShared registers the duties that both roles have besides the
+// configuration duty.
+func (b *base) addShared(role structs.Role, admin string, watch *configwatch.Watch, add func(duty.Duty)) error {
+	view, err := members.New(members.Options{
 		Self: structs.Member{
-			ID: b.set.ID, Role: role, Addr: b.server.Addr(), DataCentre: b.set.DataCentre,
+			ID: b.set.ID, Role: role, Addr: b.server.Addr(), AdminAddr: admin, DataCentre: b.set.DataCentre,
 		},
 		Seeds: b.set.Seeds, Membership: b.set.Membership, Loss: b.set.PeerLoss,
-		Table: b.platform, Sender: client, Subscribers: subscribed.members, ConfigNews: news,
-		Log: b.part("members"), Metrics: b.reg,
-	}); err != nil {
+		Table: b.platform, Sender: b.client, Subscribers: b.subscribed.members, ConfigNews: b.news,
+		Log: b.part("members"), Metrics: b.opts.Metrics,
+	})
+	if err != nil {
 		return fmt.Errorf("membership duty: %w", err)
 	}
-	b.transfer.bind(b.watch, b.members)
-	if err := member.Register(b.server, b.members, configServer{b.watch.Current}); err != nil {
+	b.transfer.bind(watch, view)
+	if err := member.Register(b.server, view, configServer{watch.Current}); err != nil {
 		return fmt.Errorf("register the member service: %w", err)
 	}
 	fleet := vmview.New(vmview.Options{
 		Poll: b.set.View.FleetPoll, Timeout: fleetTimeoutCalls * b.set.Platform.Timeout,
-		Table: b.platform, VMs: b.platform, Subscribers: subscribed.fleets,
-		Log: b.part("vmview"), Metrics: b.reg,
+		Table: b.platform, VMs: b.platform, Subscribers: b.subscribed.fleets,
+		Log: b.part("vmview"), Metrics: b.opts.Metrics,
 	})
-	b.sup.Add(b.watch.Duty())
-	b.sup.Add(duty.Duty{Name: "config-transfer", Run: b.transfer.run})
-	b.sup.Add(duty.Duty{Name: "vmview", Run: fleet.Run, Dump: fleet.Dump})
-	b.sup.Add(duty.Duty{Name: "peers", Run: b.server.Run})
-	b.sup.Add(duty.Duty{Name: "members", Run: b.members.Run, Dump: b.members.Dump})
+	add(duty.Duty{Name: "config-transfer", Run: b.transfer.run})
+	add(duty.Duty{Name: "vmview", Run: fleet.Run, Dump: fleet.Dump})
+	add(duty.Duty{Name: "peers", Run: b.server.Run})
+	add(duty.Duty{Name: "members", Run: view.Run, Dump: view.Dump})
+	return nil
+}
+
+// close closes the connections after the duties have ended.
+func (b *base) close() error {
+	b.platform.Close()
+	if err := b.dialer.Close(); err != nil {
+		return fmt.Errorf("close peer connections: %w", err)
+	}
 	return nil
 }
 
@@ -150,15 +146,8 @@
 	return s
 }
 
-// stop ends all duties and closes the connections.
-func (b *base) stop(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	err := b.sup.Stop(ctx)
-	b.pool.StopAndWait()
-	b.platform.Close()
-	if closeErr := b.dialer.Close(); err == nil && closeErr != nil {
-		err = fmt.Errorf("close peer connections: %w", closeErr)
-	}
-	return err
+// latest keeps the newest immutable views for goroutines of servers.
+type latest struct {
+	members atomic.Pointer[structs.MemberView]
+	fleet   atomic.Pointer[structs.FleetView]
 }
--- /dev/null
+++ b/daemon/process/drain.go
@@ -0,0 +1,103 @@
+package process
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/carobwharf/carobwharf/daemon/controller/poolkeeper"
+	peercontroller "github.com/carobwharf/carobwharf/peer/controller"
+	"github.com/carobwharf/carobwharf/peer/operator"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// drainer carries out operators' drains: here if this controller holds the
+// lease of the VM's pool, otherwise at the holder.
+type drainer struct {
+	keeper *poolkeeper.Duty
+	peers  *peercontroller.Client
+	seen   *latest
+}
+
+// Drain orders the drain and reboot of a VM.
+func (d drainer) Drain(ctx context.Context, r operator.DrainRequest) (operator.DrainReply, error) {
+	order := poolkeeper.Order{ID: uuid.NewString(), VM: r.VM, Reason: r.Reason}
+	result, err := d.keeper.Order(ctx, order)
+	if err != nil {
+		return operator.DrainReply{}, unavailable(err)
+	}
+	if !result.Accepted && result.Holder != "" {
+		if result, err = d.forward(ctx, result.Holder, order); err != nil {
+			return operator.DrainReply{}, unavailable(err)
+		}
+	}
+	if !result.Accepted {
+		return operator.DrainReply{}, &operator.Error{Code: operator.CodeConflict, Message: result.Refusal}
+	}
+	return operator.DrainReply{VM: r.VM, Pool: d.pool(r.VM), State: structs.OwnerDraining, Epoch: result.Epoch}, nil
+}
+
+func (d drainer) forward(ctx context.Context, holder string, o poolkeeper.Order) (poolkeeper.Result, error) {
+	view := d.seen.members.Load()
+	if view == nil {
+		return poolkeeper.Result{}, fmt.Errorf("no view of the processes yet")
+	}
+	for _, m := range view.ByRole(structs.RoleController) {
+		if m.ID != holder {
+			continue
+		}
+		r, err := d.peers.Drain(ctx, m.Addr, peercontroller.DrainOrder{ID: o.ID, VM: o.VM, ToPool: o.ToPool, Reason: o.Reason})
+		return poolkeeper.Result{Accepted: r.Accepted, Epoch: r.Epoch, Holder: r.Holder, Refusal: r.Refusal}, err
+	}
+	return poolkeeper.Result{}, fmt.Errorf("controller %s, which holds the lease, is not live", holder)
+}
+
+func (d drainer) pool(vm string) string {
+	view := d.seen.fleet.Load()
+	if view == nil {
+		return ""
+	}
+	for _, o := range view.Owners {
+		if o.VM == vm {
+			return o.Pool
+		}
+	}
+	return ""
+}
+
+func unavailable(err error) error {
+	return &operator.Error{Code: operator.CodeUnavailable, Message: err.Error()}
+}
+
+// controlHandler answers other controllers.
+type controlHandler struct {
+	keeper  *poolkeeper.Duty
+	id      string
+	current func() *structs.Config
+}
+
+// Status returns the controller's report on itself.
+func (h controlHandler) Status(ctx context.Context) (peercontroller.Status, error) {
+	s, err := h.keeper.Status(ctx)
+	if err != nil {
+		return peercontroller.Status{}, fmt.Errorf("pool keeper status: %w", err)
+	}
+	out := peercontroller.Status{ID: h.id, Moves: s.Moves, Stops: s.Stops}
+	if c := h.current(); c != nil {
+		out.Generation = c.Generation
+	}
+	for _, l := range s.Leases {
+		out.Leases = append(out.Leases, peercontroller.Lease{Pool: l.Pool, Holder: h.id, Token: l.Token})
+	}
+	return out, nil
+}
+
+// Drain carries out an order if this controller holds the pool's lease.
+func (h controlHandler) Drain(ctx context.Context, o peercontroller.DrainOrder) (peercontroller.DrainResult, error) {
+	r, err := h.keeper.Order(ctx, poolkeeper.Order{ID: o.ID, VM: o.VM, ToPool: o.ToPool, Reason: o.Reason})
+	if err != nil {
+		return peercontroller.DrainResult{}, fmt.Errorf("drain %s: %w", o.VM, err)
+	}
+	return peercontroller.DrainResult{Accepted: r.Accepted, Epoch: r.Epoch, Holder: r.Holder, Refusal: r.Refusal}, nil
+}
--- a/daemon/process/gateway.go
+++ b/daemon/process/gateway.go
@@ -2,93 +2,188 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
 
+	"github.com/alitto/pond/v2"
+
 	"github.com/carobwharf/carobwharf/daemon/gateway"
 	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/node/configwatch"
 	"github.com/carobwharf/carobwharf/peer/caller"
 	"github.com/carobwharf/carobwharf/peer/endpoint"
 	peergateway "github.com/carobwharf/carobwharf/peer/gateway"
-	"github.com/carobwharf/carobwharf/settings"
+	"github.com/carobwharf/carobwharf/peer/operator"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-// Time for duties to end after the drain.
-const stopTimeout = 10 * time.Second
+const (
+	// stopTimeout bounds the end of the duties after the drain.
+	stopTimeout = 10 * time.Second
+	// Calls of the configuration duty: the head, a set, a peer, one to spare.
+	configWorkers = 4
+	configQueue   = 16
+)
 
-// Gateway is a running gateway process.
+// Gateway is a gateway process.
 type Gateway struct {
 	base     *base
+	sup      *duty.Supervisor
+	pool     pond.Pool
+	watch    *configwatch.Watch
 	data     *gateway.Gateway
 	callers  *caller.Server
+	admin    *operator.Admin
 	addr     string
 	draining atomic.Bool
 }
 
-// NewGateway builds a gateway process and opens its listeners. Start runs it.
-func NewGateway(set settings.Process, logOutput io.Writer) (*Gateway, error) {
+// NewGateway builds a gateway process and opens its listeners.
+func NewGateway(o Options) (*Gateway, error) {
 	path, conns := newViews("dispatcher"), newViews("connections")
-	b, err := newBase(set, structs.RoleGateway, logOutput, path, conns)
+	b, err := newBase(o, path, conns)
 	if err != nil {
 		return nil, err
 	}
+	g := &Gateway{
+		base: b,
+		sup:  duty.NewSupervisor(),
+		pool: pond.NewPool(configWorkers, pond.WithQueueSize(configQueue), pond.WithNonBlocking(true)),
+	}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
 	endpoints := endpoint.New(endpoint.Options{
-		ConnIdle: set.Gateway.ConnIdle, ConnAge: set.Gateway.ConnAge, MaxBody: set.Gateway.MaxBody,
+		ConnIdle: b.set.Gateway.ConnIdle, ConnAge: b.set.Gateway.ConnAge, MaxBody: b.set.Gateway.MaxBody,
 	})
-	g := &Gateway{base: b}
 	inputs := gateway.Inputs{Configs: path.configs, Fleets: path.fleets, Members: path.members}
-	if g.data, err = gateway.New(set, b.platform, endpoints, inputs, b.log, b.reg); err != nil {
+	if g.data, err = gateway.New(b.set, b.platform, endpoints, inputs, o.Log, o.Metrics); err != nil {
 		return nil, err
 	}
 	if err := peergateway.Register(b.server, drainHandler{g.data}); err != nil {
 		return nil, fmt.Errorf("register the gateway service: %w", err)
 	}
-	g.callers = caller.NewServer(caller.Config{
-		Listen: set.Gateway.Listen, MaxConnections: set.Gateway.MaxConnections,
-		MaxBody: set.Gateway.MaxBody, ReadTimeout: set.Gateway.ReadTimeout, StopTimeout: stopTimeout,
-	}, g.data, b.part("caller"))
-	if g.addr, err = g.callers.Listen(); err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
+	if err := g.listenCallers(); err != nil {
+		return nil, err
+	}
+	g.sup.Add(duty.Duty{Name: "admin", Run: g.admin.Run})
+	g.sup.Add(g.watch.Duty())
+	if err := b.addShared(structs.RoleGateway, g.admin.Addr(), g.watch, g.sup.Add); err != nil {
+		return nil, err
 	}
-	b.sup.Add(duty.Duty{Name: "connections", Run: connectionShare{endpoints, conns}.run})
-	g.data.Register(b.sup)
-	b.sup.Add(duty.Duty{Name: "caller", Run: g.callers.Run})
+	g.sup.Add(duty.Duty{Name: "connections", Run: connectionShare{endpoints, conns}.run})
+	g.data.Register(g.sup)
+	g.sup.Add(duty.Duty{Name: "caller", Run: g.callers.Run})
 	return g, nil
 }
 
-// Start runs the duties.
-func (g *Gateway) Start(ctx context.Context) { g.base.sup.Start(ctx) }
+// listen opens the admin address and builds the configuration duty.
+func (g *Gateway) listen() (err error) {
+	set := g.base.set
+	if g.admin, err = operator.NewAdmin(set.AdminListen, gatewayProcess{g}); err != nil {
+		return fmt.Errorf("admin address: %w", err)
+	}
+	g.watch, err = configwatch.New(configwatch.Options{
+		Platform: g.base.platform, Peers: g.base.transfer,
+		Poll: set.View.ConfigPoll, Timeout: set.Platform.Timeout, Pool: g.pool,
+		Subscribers: g.base.subscribed.configs, Log: g.base.part("config"), Metrics: g.base.opts.Metrics,
+	})
+	if err != nil {
+		return fmt.Errorf("configuration duty: %w", err)
+	}
+	return nil
+}
+
+func (g *Gateway) listenCallers() (err error) {
+	set := g.base.set.Gateway
+	g.callers = caller.NewServer(caller.Config{
+		Listen: set.Listen, MaxConnections: set.MaxConnections,
+		MaxBody: set.MaxBody, ReadTimeout: set.ReadTimeout, StopTimeout: stopTimeout,
+	}, g.data, g.base.part("caller"))
+	if g.addr, err = g.callers.Listen(); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	return nil
+}
 
 // Addr returns the IP:port for callers.
 func (g *Gateway) Addr() string { return g.addr }
 
+// AdminAddr returns the IP:port of health, metrics and dump.
+func (g *Gateway) AdminAddr() string { return g.admin.Addr() }
+
 // PeerAddr returns the IP:port for the project's own processes.
 func (g *Gateway) PeerAddr() string { return g.base.server.Addr() }
 
-// Failed delivers the error of the first duty that failed.
-func (g *Gateway) Failed() <-chan error { return g.base.sup.Failed() }
-
 // Ready reports whether the process takes new requests.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.data.Ready() }
 
 // Generation returns the configuration generation in force, 0 for none.
-func (g *Gateway) Generation() uint64 { return generation(g.base.watch.Current()) }
+func (g *Gateway) Generation() uint64 {
+	if c := g.watch.Current(); c != nil {
+		return c.Generation
+	}
+	return 0
+}
 
-// Stop drains the process: readiness goes off, callers are told to turn to
-// another gateway, requests in the process are answered, then all duties end.
-func (g *Gateway) Stop(ctx context.Context) error {
+// Run runs all duties until ctx ends or a duty fails, then drains: readiness
+// goes off, callers are told to turn to another gateway, requests in the
+// process are answered, then the duties end.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.sup.Start(ctx)
+	g.base.opts.Log.Info("gateway started", "callers", g.addr, "peers", g.PeerAddr(), "admin", g.AdminAddr())
+	var failed error
+	select {
+	case <-ctx.Done():
+	case failed = <-g.sup.Failed():
+		g.base.opts.Log.Error("duty failed", "error", failed)
+	}
+	return errors.Join(failed, g.stop(context.WithoutCancel(ctx)))
+}
+
+func (g *Gateway) stop(ctx context.Context) error {
 	g.draining.Store(true)
 	g.callers.Drain()
 	drainErr := g.data.Drain(ctx)
-	if err := g.base.stop(stopTimeout); err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	stopErr := g.sup.Stop(ctx)
+	g.pool.StopAndWait()
+	g.base.opts.Log.Info("gateway stopped")
+	return errors.Join(drainErr, stopErr, g.base.close())
+}
+
+// gatewayProcess is the gateway as the admin address shows it.
+type gatewayProcess struct{ g *Gateway }
+
+// Healthy returns nil: a failed duty ends the process.
+func (p gatewayProcess) Healthy() error { return nil }
+
+// Ready returns an error while the gateway takes no requests.
+func (p gatewayProcess) Ready() error {
+	switch {
+	case p.g.draining.Load():
+		return errors.New("the process is stopping")
+	case !p.g.data.Ready():
+		return errors.New("no configuration or no fleet is known yet")
 	}
-	return drainErr
+	return nil
+}
+
+// WriteMetrics writes the metrics as JSON.
+func (p gatewayProcess) WriteMetrics(w io.Writer) error { return p.g.base.opts.Metrics.WriteJSON(w) }
+
+// Dump returns the state of every duty.
+func (p gatewayProcess) Dump(ctx context.Context, timeout time.Duration) []duty.Report {
+	return p.g.sup.Dump(ctx, timeout)
 }
 
+// Version returns the version of the binary.
+func (p gatewayProcess) Version() any { return p.g.base.opts.Version }
+
 // drainHandler answers controllers.
 type drainHandler struct{ data *gateway.Gateway }
 
@@ -123,10 +218,3 @@
 		}
 	}
 }
-
-func generation(c *structs.Config) uint64 {
-	if c == nil {
-		return 0
-	}
-	return c.Generation
-}
--- a/daemon/process/transfer.go
+++ b/daemon/process/transfer.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -30,11 +29,11 @@
 	log     hclog.Logger
 	watch   *configwatch.Watch
 	members *members.Duty
-	view    atomic.Pointer[structs.MemberView]
+	seen    *latest
 }
 
-func newConfigTransfer(c *member.Client, in views, news *ring.Ring[members.ConfigNews], log hclog.Logger) *configTransfer {
-	return &configTransfer{client: c, in: in, news: news, log: log}
+func newConfigTransfer(c *member.Client, in views, news *ring.Ring[members.ConfigNews], seen *latest, log hclog.Logger) *configTransfer {
+	return &configTransfer{client: c, in: in, news: news, seen: seen, log: log}
 }
 
 // bind sets the duties on both sides; it is called before run.
@@ -48,7 +47,7 @@
 		case <-ctx.Done():
 			return nil
 		case v := <-t.in.members.C():
-			t.view.Store(v)
+			t.seen.members.Store(v)
 		case c := <-t.in.configs.C():
 			if err := t.members.SetConfig(ctx, c.Generation, c.Hash); err != nil {
 				t.log.Warn("generation is not announced", "generation", c.Generation, "error", err)
@@ -57,7 +56,8 @@
 			if err := t.watch.Hint(ctx, n.Generation); err != nil {
 				t.log.Debug("hint of a peer is dropped", "generation", n.Generation, "error", err)
 			}
-		case <-t.in.fleets.C():
+		case v := <-t.in.fleets.C():
+			t.seen.fleet.Store(v)
 		}
 	}
 }
@@ -77,7 +77,7 @@
 }
 
 func (t *configTransfer) candidates(generation uint64) []structs.Member {
-	view := t.view.Load()
+	view := t.seen.members.Load()
 	if view == nil {
 		return nil
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,6 +18,8 @@
 	"github.com/carobwharf/carobwharf/structs"
 )
 
+const fleetFile = "fleet.ini"
+
 //go:embed fleet.ini
 var fleetINI []byte
 
@@ -107,7 +109,7 @@
 }
 
 func fleetSet() (structs.ObjectSet, error) {
-	file, err := settings.ParseObjects("fleet.ini", fleetINI)
+	file, err := settings.ParseObjects(fleetFile, fleetINI)
 	if err != nil {
 		return structs.ObjectSet{}, fmt.Errorf("demonstration set: %w", err)
 	}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -7,9 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/carobwharf/carobwharf/daemon/controller/publisher"
 	"github.com/carobwharf/carobwharf/daemon/process"
+	"github.com/carobwharf/carobwharf/logging"
+	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/peer/caller"
+	"github.com/carobwharf/carobwharf/peer/operator"
 	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/standin/endpoint"
 	"github.com/carobwharf/carobwharf/standin/platform"
@@ -25,6 +27,7 @@
 	serviceSigma   = 0.5
 	callerConns    = 512
 	firstVMAddress = "127.0.1.1"
+	operatorKey    = "demonstration"
 )
 
 var dataCentres = []string{"dc1", "dc2", "dc3"}
@@ -37,29 +40,33 @@
 	gateways    []*process.Gateway
 	callers     *balancer
 	effects     []endpoint.Effect // set by stop
+	cancel      context.CancelFunc
+	ended       chan error // one value from each process
 }
 
 func startDeployment(ctx context.Context, o Options, set structs.ObjectSet) (*deployment, error) {
-	d := &deployment{}
-	err := d.start(ctx, o, set)
+	d := &deployment{ended: make(chan error, o.Gateways+o.Controllers)}
+	processes, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d.cancel = cancel
+	err := d.start(ctx, processes, o, set)
 	if err != nil {
 		return nil, errors.Join(err, d.stop())
 	}
 	return d, nil
 }
 
-func (d *deployment) start(ctx context.Context, o Options, set structs.ObjectSet) error {
+func (d *deployment) start(ctx, processes context.Context, o Options, set structs.ObjectSet) error {
 	if err := d.startStandins(o, &set); err != nil {
 		return err
 	}
-	if err := d.startControllers(ctx, o); err != nil {
+	if err := d.startControllers(processes, o); err != nil {
 		return err
 	}
-	submission := publisher.Submission{ID: "demo-first-set", Set: set}
-	if _, err := d.controllers[0].Submit(ctx, submission); err != nil {
+	client := operator.NewClient(d.controllers[0].OperatorAddr(), operatorKey)
+	if _, err := client.Submit(ctx, "demo-first-set", 0, fleetFile, fleetINI); err != nil {
 		return fmt.Errorf("submit the demonstration set: %w", err)
 	}
-	if err := d.startGateways(ctx, o); err != nil {
+	if err := d.startGateways(processes, o); err != nil {
 		return err
 	}
 	return d.waitReady(ctx)
@@ -92,26 +99,34 @@
 	return nil
 }
 
-func (d *deployment) settings(name string, n int) settings.Process {
+func (d *deployment) options(name string, n int, o Options) (process.Options, error) {
 	p := settings.DefaultProcess()
 	p.ID = fmt.Sprintf("%s-%d", name, n+1)
 	p.DataCentre = dataCentres[n%len(dataCentres)]
 	p.Platform.Addr = d.platform.Addr()
-	p.Log.Level = "warn"
+	p.Controller.OperatorKey = operatorKey
 	for _, c := range d.controllers {
 		p.Seeds = append(p.Seeds, c.PeerAddr())
 	}
-	return p
+	log, err := logging.New(logging.Options{Level: "warn", Format: logging.FormatText, Output: o.Log})
+	if err != nil {
+		return process.Options{}, err
+	}
+	return process.Options{Settings: p, Log: logging.For(log, p.ID), Metrics: metrics.New()}, nil
 }
 
 func (d *deployment) startControllers(ctx context.Context, o Options) error {
 	for i := range o.Controllers {
-		c, err := process.NewController(d.settings("controller", i), o.Log)
+		opts, err := d.options("controller", i, o)
+		if err != nil {
+			return err
+		}
+		c, err := process.NewController(opts)
 		if err != nil {
 			return fmt.Errorf("controller %d: %w", i+1, err)
 		}
-		c.Start(ctx)
 		d.controllers = append(d.controllers, c)
+		go func() { d.ended <- c.Run(ctx) }()
 	}
 	return nil
 }
@@ -119,13 +134,17 @@
 func (d *deployment) startGateways(ctx context.Context, o Options) error {
 	d.callers = &balancer{}
 	for i := range o.Gateways {
-		g, err := process.NewGateway(d.settings("gateway", i), o.Log)
+		opts, err := d.options("gateway", i, o)
+		if err != nil {
+			return err
+		}
+		g, err := process.NewGateway(opts)
 		if err != nil {
 			return fmt.Errorf("gateway %d: %w", i+1, err)
 		}
-		g.Start(ctx)
 		d.gateways = append(d.gateways, g)
 		d.callers.clients = append(d.callers.clients, caller.NewClient(caller.ClientConfig{Addr: g.Addr(), MaxConnections: callerConns}))
+		go func() { d.ended <- g.Run(ctx) }()
 	}
 	return nil
 }
@@ -164,11 +183,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	var errs []error
-	for _, g := range d.gateways {
-		errs = append(errs, g.Stop(ctx))
-	}
-	for _, c := range d.controllers {
-		errs = append(errs, c.Stop(ctx))
+	d.cancel()
+	for range len(d.gateways) + len(d.controllers) {
+		errs = append(errs, <-d.ended)
 	}
 	if d.endpoints != nil {
 		d.effects = d.endpoints.Effects(0, 0).Effects
