--- a/daemon/gateway/journal/batch.go
+++ b/daemon/gateway/journal/batch.go
@@ -70,7 +70,8 @@
 		return &Task{Kind: GetObject, Object: o.record.Answer.Object, ops: []*op{o}}
 	case len(m.reads) > 0:
 		return m.readTask()
-	case len(m.puts) > 0:
+	case len(m.puts) > 0 && m.writer.Ready(now):
+		m.writer.Take(now)
 		o := pop(&m.puts)
 		sum := sha256.Sum256(o.record.Answer.Body)
 		name := store.ObjectPrefixAnswer + hex.EncodeToString(sum[:])
@@ -106,6 +107,9 @@
 	if len(m.writes) == 0 {
 		return nil
 	}
+	if !m.writer.Ready(now) {
+		return nil
+	}
 	if len(m.writes) < m.opts.Batch && now.Sub(m.writes[0].since) < m.opts.Linger {
 		return nil
 	}
@@ -137,6 +141,7 @@
 	m.writes = rest
 	// The rows come first, so that versions and ops have the same index.
 	t.Ops = append(t.Ops, checkOps...)
+	m.writer.Take(now)
 	m.counters.Commits++
 	m.counters.Rows += int64(len(t.ops))
 	return t
@@ -163,6 +168,8 @@
 	case errors.As(r.Err, &conflict):
 		m.counters.Conflicts++
 		m.conflicted(r.Task, conflict.Keys)
+	case errors.Is(r.Err, store.ErrThrottled):
+		m.writes = append(slices.Clone(r.Task.ops), m.writes...)
 	case errors.Is(r.Err, store.ErrUnavailable):
 		for _, o := range r.Task.ops {
 			m.failed(now, o)
--- a/daemon/gateway/journal/journal.go
+++ b/daemon/gateway/journal/journal.go
@@ -93,7 +93,7 @@
 }
 
 func (j *Journal) arm(timer *time.Timer) {
-	if next := j.machine.NextWake(); !next.IsZero() {
+	if next := j.machine.NextWake(time.Now()); !next.IsZero() {
 		timer.Reset(max(0, time.Until(next)))
 	} else {
 		timer.Reset(time.Hour)
--- a/daemon/gateway/journal/machine.go
+++ b/daemon/gateway/journal/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/intent"
+	"github.com/carobwharf/carobwharf/pacing"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -70,6 +71,7 @@
 	bytes   int   // of answers held
 	down    bool
 	tryAt   time.Time // next try while the platform is down
+	writer  *pacing.Pacer
 	delay   time.Duration
 
 	replies  []Reply
@@ -78,11 +80,21 @@
 
 // Counters are totals since the start.
 type Counters struct {
-	Commits, Rows, Conflicts, Unknown, Unavailable, Dropped int64
+	Commits, Rows, Conflicts, Unknown, Unavailable, Throttled, Dropped int64
 }
 
 // NewMachine returns an empty machine.
-func NewMachine(o Options) *Machine { return &Machine{opts: o} }
+func NewMachine(o Options) *Machine {
+	return &Machine{opts: o, writer: pacing.New(writePacing)}
+}
+
+// writePacing paces transactions and objects. The platform's limit of several
+// hundred writes/s is shared by all gateways and controllers, so a gateway
+// starts with what it would have among six and finds the rest itself. A paced
+// transaction holds the rows that arrived meanwhile.
+var writePacing = pacing.Options{
+	Initial: 40, Min: 2, Max: 300, Burst: 4, Increase: 5, Decrease: 0.8, Settle: 200 * time.Millisecond,
+}
 
 // Totals returns the counters.
 func (m *Machine) Totals() Counters { return m.counters }
@@ -141,7 +153,7 @@
 
 // NextWake returns when Next has to be called without another cause, or the
 // zero time.
-func (m *Machine) NextWake() time.Time {
+func (m *Machine) NextWake(now time.Time) time.Time {
 	var next time.Time
 	soonest := func(t time.Time) {
 		if next.IsZero() || t.Before(next) {
@@ -154,16 +166,29 @@
 	switch {
 	case m.down && m.running == 0 && len(m.writes)+len(m.reads)+len(m.puts)+len(m.gets) > 0:
 		soonest(m.tryAt)
-	case !m.down && m.running < m.opts.Workers && len(m.writes) > 0:
-		soonest(m.writes[0].since.Add(m.opts.Linger))
+	case !m.down && m.running < m.opts.Workers && len(m.writes)+len(m.puts) > 0:
+		soonest(m.nextWrite(now))
 	}
 	return next
 }
 
+// nextWrite returns when the next transaction or object may be written.
+func (m *Machine) nextWrite(now time.Time) time.Time {
+	paced := m.writer.NextAt(now)
+	if len(m.puts) > 0 {
+		return paced
+	}
+	if linger := m.writes[0].since.Add(m.opts.Linger); linger.After(paced) {
+		return linger
+	}
+	return paced
+}
+
 // Completed takes the result of a task.
 func (m *Machine) Completed(now time.Time, r Result) {
 	m.running--
 	m.noteHealth(now, r.Err)
+	m.notePace(now, r)
 	switch r.Task.Kind {
 	case CommitRows:
 		m.committed(now, r)
@@ -189,13 +214,28 @@
 	m.tryAt = now.Add(m.delay)
 }
 
+// notePace adapts the rate of writes to what the platform takes.
+func (m *Machine) notePace(now time.Time, r Result) {
+	if r.Task.Kind != CommitRows && r.Task.Kind != PutObject {
+		return
+	}
+	switch {
+	case errors.Is(r.Err, store.ErrThrottled):
+		m.counters.Throttled++
+		m.writer.Throttled(now)
+	case r.Err == nil:
+		m.writer.Succeeded()
+	}
+}
+
 // isOutage reports whether an error says that the platform did not answer. A
 // conflict or an absent row is an answer. A lost answer leads to a read, which
 // shows whether the platform is there.
 func isOutage(err error) bool {
 	var conflict *store.ConflictError
 	return err != nil && !errors.As(err, &conflict) &&
-		!errors.Is(err, store.ErrNotFound) && !errors.Is(err, store.ErrUnknown)
+		!errors.Is(err, store.ErrNotFound) && !errors.Is(err, store.ErrUnknown) &&
+		!errors.Is(err, store.ErrThrottled)
 }
 
 // failed handles a call that had no effect on an operation. Claims go back to
@@ -299,6 +339,10 @@
 
 func (m *Machine) wasPut(now time.Time, r Result) {
 	o := r.Task.ops[0]
+	if errors.Is(r.Err, store.ErrThrottled) {
+		m.puts = append([]*op{o}, m.puts...)
+		return
+	}
 	if r.Err != nil {
 		m.failed(now, o)
 		return
--- /dev/null
+++ b/daemon/gateway/journal/throttle_test.go
@@ -0,0 +1,57 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/intent"
+	"github.com/carobwharf/carobwharf/store"
+)
+
+// A throttled transaction must be sent again with its rows. Treated as an
+// outage, it opens the circuit and claims are refused although the platform
+// works; payouts then waited for seconds at p99.
+func TestThrottledRowsAreSentAgain(t *testing.T) {
+	m := NewMachine(Options{Batch: 64, Workers: 8, MaxBacklog: 10, MaxBytes: 1 << 20})
+	now := time.Unix(0, 0)
+	for i := range 3 {
+		m.Add(now, Request{
+			Kind: Claim, Service: "s", Key: fmt.Sprint(i), VM: "v", VMVersion: 1,
+			Claim: intent.Claim{Token: fmt.Sprint(i)}, Deadline: now.Add(time.Minute), Ref: uint64(i),
+		})
+	}
+	tasks := m.Next(now)
+	require.Len(t, tasks, 1)
+	m.Completed(now, Result{Task: tasks[0], Err: fmt.Errorf("commit: %w", store.ErrThrottled)})
+	require.Empty(t, m.Replies())
+	require.Empty(t, m.Next(now), "the pacer has to delay the repetition")
+
+	now = m.NextWake(now)
+	tasks = m.Next(now)
+	require.Len(t, tasks, 1)
+	require.Len(t, tasks[0].Ops, 4, "three rows and the check of the VM")
+	m.Completed(now, Result{Task: tasks[0], Versions: []uint64{1, 1, 1, 0}})
+	replies := m.Replies()
+	require.Len(t, replies, 3)
+	for _, r := range replies {
+		require.Equal(t, Granted, r.Status)
+	}
+}
+
+// Rows that arrive while the pacer waits must share the next transaction, or
+// the platform's limit on transactions also limits the rows.
+func TestPacedTransactionTakesAllWaitingRows(t *testing.T) {
+	m := NewMachine(Options{Batch: 64, Workers: 8, MaxBacklog: 100, MaxBytes: 1 << 20})
+	now := time.Unix(0, 0)
+	for i := range 50 {
+		m.Add(now, Request{Kind: Claim, Service: "s", Key: fmt.Sprint(i), Deadline: now.Add(time.Minute)})
+		m.Next(now)
+	}
+	require.Equal(t, int64(writePacing.Burst), m.Totals().Commits)
+	m.Next(m.NextWake(now))
+	require.Equal(t, int64(writePacing.Burst)+1, m.Totals().Commits)
+	require.Equal(t, int64(50), m.Totals().Rows)
+}
--- a/peer/platform/client.go
+++ b/peer/platform/client.go
@@ -62,7 +62,9 @@
 			return fmt.Errorf("%w: conflict without keys", lost)
 		}
 		return &store.ConflictError{Keys: p.Keys}
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
+	case fasthttp.StatusTooManyRequests:
+		return fmt.Errorf("%w: %s", store.ErrThrottled, p.Error)
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
 		return fmt.Errorf("%w: status %d: %s", store.ErrUnavailable, status, p.Error)
 	}
 	return fmt.Errorf("%w: status %d: %s", lost, status, p.Error)
