Give connections back when shares shrink; VMs are workers

Cause: fasthttp keeps the connections above a smaller bound, so a gateway that joins would meet endpoints that are full; a new host also started with a bound of 1, which the first calls that came together would exceed. The platform's workers are the VMs, so a reboot ends the tasks there. Ruled out: closing surplus connections only as they are acquired: LIFO leaves the surplus idle for up to 30 s, which another gateway misses. Conclusion: Host.SetMaxConns and Retire close what exceeds the bound.

--- a/peer/endpoint/bench_test.go
+++ b/peer/endpoint/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,3 +26,22 @@
 		})
 	}
 }
+
+// Shows how much load client and stand-in carry together.
+func BenchmarkDoParallel(b *testing.B) {
+	s, c := startSlots(b, 50, 64, endpoint.Service{})
+	vms := s.VMs()
+	req := request("1", time.Hour)
+	var next atomic.Int64
+	b.ReportAllocs()
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			vm := vms[int(next.Add(1))%len(vms)]
+			if res := c.Do(context.Background(), req, vm, structs.LegacyNone, 1); res.Kind != structs.EndpointAnswered {
+				b.Error(res.Detail)
+				return
+			}
+		}
+	})
+}
--- a/peer/endpoint/classify.go
+++ b/peer/endpoint/classify.go
@@ -39,10 +39,23 @@
 	}
 	res.Kind = structs.EndpointAnswered
 	res.Failed = res.Failed || res.Status >= 500
-	res.ContentType = string(in.Header.ContentType())
+	res.ContentType = contentType(in.Header.ContentType())
 	res.Body = bytes.Clone(in.Body())
 }
 
+// contentType returns the usual types without allocating.
+func contentType(b []byte) string {
+	switch string(b) {
+	case "application/json":
+		return "application/json"
+	case "text/plain; charset=utf-8":
+		return "text/plain; charset=utf-8"
+	case "application/octet-stream":
+		return "application/octet-stream"
+	}
+	return string(b)
+}
+
 func refused(status int) bool {
 	return status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
 }
--- a/peer/endpoint/client.go
+++ b/peer/endpoint/client.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// Retain closes the idle connections to VMs that are not in the list, or that
-// have another address now, and forgets them.
+// Retain closes the connections to VMs that are not in the list, or that have
+// another address now, those in use after their call.
 func (c *Client) Retain(vms []structs.VM) {
 	addrs := make(map[string]string, len(vms))
 	for _, vm := range vms {
@@ -106,14 +106,14 @@
 		}
 		for id, h := range *old {
 			if gone(id, h) {
-				h.CloseIdle()
+				h.Retire()
 			}
 		}
 		return
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all connections, those in use after their call.
 func (c *Client) Close() { c.Retain(nil) }
 
 // host returns the connections of a VM and makes them if necessary.
@@ -124,25 +124,29 @@
 		if known && h.Addr() == vm.Addr && h.conns == vm.Connections {
 			return h
 		}
+		before := c.share.Load()
 		if known && h.Addr() == vm.Addr {
 			h = &host{Host: h.Host, conns: vm.Connections}
+			h.SetMaxConns(before.of(vm.Connections))
 		} else {
-			h = c.newHost(vm)
+			h = c.newHost(vm, before)
 		}
 		next := maps.Clone(*old)
 		next[vm.ID] = h
-		if c.hosts.CompareAndSwap(old, &next) {
-			// Set after the host is in the map: SetShare reaches it there, or
-			// has stored the share that is read here.
-			h.SetMaxConns(c.share.Load().of(vm.Connections))
-			return h
+		if !c.hosts.CompareAndSwap(old, &next) {
+			continue
+		}
+		// SetShare did not reach the host before it was in the map.
+		if after := c.share.Load(); after != before {
+			h.SetMaxConns(after.of(vm.Connections))
 		}
+		return h
 	}
 }
 
-func (c *Client) newHost(vm *structs.VM) *host {
+func (c *Client) newHost(vm *structs.VM, s *share) *host {
 	return &host{conns: vm.Connections, Host: roundtrip.NewHost(vm.Addr, roundtrip.Options{
-		MaxConns: 1, // until the share is applied
+		MaxConns: s.of(vm.Connections),
 		MaxAge:   c.opt.ConnAge,
 		MaxIdle:  c.opt.ConnIdle,
 		MaxBody:  c.opt.MaxBody,
--- a/peer/endpoint/client_test.go
+++ b/peer/endpoint/client_test.go
@@ -20,9 +20,14 @@
 const short = 150 * time.Millisecond // deadline of calls that must time out
 
 func start(t testing.TB, n int, service endpoint.Service) (*endpoint.Server, *peer.Client) {
+	t.Helper()
+	return startSlots(t, n, 4, service)
+}
+
+func startSlots(t testing.TB, n, slots int, service endpoint.Service) (*endpoint.Server, *peer.Client) {
 	t.Helper()
 	cfg := endpoint.DefaultConfig()
-	vms, err := endpoint.Fleet(n, "127.0.0.1", 0, []string{"dc1"}, 4, 64)
+	vms, err := endpoint.Fleet(n, "127.0.0.1", 0, []string{"dc1"}, slots, 64)
 	require.NoError(t, err)
 	cfg.VMs, cfg.Default = vms, service
 	s := endpoint.New(cfg)
@@ -180,6 +185,21 @@
 	requireWhole(t, req, c.Do(context.Background(), req, vm, structs.LegacyNone, 1))
 }
 
+// The first calls to a new VM come together; all of them must get a
+// connection within the share.
+func TestFirstCallsShareANewHost(t *testing.T) {
+	s, c := start(t, 20, endpoint.Service{})
+	done := make(chan structs.EndpointResult, 80)
+	for i := range cap(done) {
+		go func() {
+			done <- c.Do(context.Background(), request(fmt.Sprint(i), time.Minute), s.VMs()[i%20], structs.LegacyNone, 1)
+		}()
+	}
+	for range cap(done) {
+		require.Equal(t, structs.EndpointAnswered, (<-done).Kind)
+	}
+}
+
 // More connections than the process's share take connections from other
 // gateways; the endpoint then refuses work of all of them.
 func TestConnectionsStayWithinTheShare(t *testing.T) {
@@ -204,3 +224,34 @@
 	}
 	require.Equal(t, 2, s.Totals()[0].PeakConns)
 }
+
+// A smaller share and a VM that is gone must give connections back, or they
+// count against the other gateways until they are idle for long.
+func TestSharesShrinkAndGoneVMsLoseConnections(t *testing.T) {
+	s, c := start(t, 1, endpoint.Service{})
+	vm := s.VMs()[0]
+	open := func(n int) {
+		require.NoError(t, s.SetFaults("", endpoint.Faults{Freeze: true}))
+		done := make(chan structs.EndpointResult, n)
+		for i := range n {
+			go func() {
+				done <- c.Do(context.Background(), request(fmt.Sprint(i), time.Minute), vm, structs.LegacyNone, 1)
+			}()
+		}
+		require.Eventually(t, func() bool { return s.Totals()[0].Held == n }, 10*time.Second, time.Millisecond)
+		require.NoError(t, s.SetFaults("", endpoint.Faults{}))
+		for range n {
+			require.Equal(t, structs.EndpointAnswered, (<-done).Kind)
+		}
+	}
+	conns := func(n int) func() bool { return func() bool { return s.Totals()[0].Conns == n } }
+	open(4)
+	require.True(t, conns(4)())
+	vm.Connections = 12
+	c.SetShare(0, 6)
+	open(1) // the call that sees the smaller bound closes idle connections
+	open(2)
+	require.Eventually(t, conns(2), 10*time.Second, time.Millisecond)
+	c.Retain(nil)
+	require.Eventually(t, conns(0), 10*time.Second, time.Millisecond)
+}
--- a/peer/internal/roundtrip/roundtrip.go
+++ b/peer/internal/roundtrip/roundtrip.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,13 +49,14 @@
 // Host is a bounded pool of connections to one address. It is safe for
 // concurrent use.
 type Host struct {
-	hc  fasthttp.HostClient
-	opt Options
+	hc    fasthttp.HostClient
+	opt   Options
+	limit atomic.Int64 // open connections; fasthttp does not close any when it shrinks
 }
 
 // NewHost returns a pool for addr (IP:port) without opening a connection.
 func NewHost(addr string, opt Options) *Host {
-	return &Host{opt: opt, hc: fasthttp.HostClient{
+	h := &Host{opt: opt, hc: fasthttp.HostClient{
 		Addr:                addr,
 		DialTimeout:         dial,
 		MaxConns:            opt.MaxConns,
@@ -65,13 +67,30 @@
 		// The most recently used connection is the least likely to be dead.
 		ConnPoolStrategy: fasthttp.LIFO,
 	}}
+	h.limit.Store(int64(opt.MaxConns))
+	return h
 }
 
 // Addr returns the address of the host.
 func (h *Host) Addr() string { return h.hc.Addr }
 
-// SetMaxConns changes the bound on open connections.
-func (h *Host) SetMaxConns(n int) { h.hc.SetMaxConns(n) }
+// SetMaxConns changes the bound on open connections, n > 0. Connections
+// beyond a smaller bound are closed, those in use after their exchange. While
+// idle ones are being closed, an exchange may find none free.
+func (h *Host) SetMaxConns(n int) {
+	h.limit.Store(int64(n))
+	h.hc.SetMaxConns(n)
+	if h.hc.ConnsCount() > n {
+		h.hc.CloseIdleConnections()
+	}
+}
+
+// Retire closes the idle connections now and those in use after their
+// exchange.
+func (h *Host) Retire() {
+	h.limit.Store(0)
+	h.hc.CloseIdleConnections()
+}
 
 // Conns returns the number of open connections.
 func (h *Host) Conns() int { return h.hc.ConnsCount() }
@@ -134,7 +153,7 @@
 			continue // ends: each turn takes one connection out of the bounded pool
 		}
 		reusable, err := h.exchange(c, x, fresh)
-		if err == nil && reusable {
+		if err == nil && reusable && int64(h.hc.ConnsCount()) <= h.limit.Load() {
 			h.hc.ReleaseConn(cc)
 			return nil
 		}
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -96,6 +96,9 @@
 	if !known {
 		return problem(fasthttp.StatusNotFound, "no such VM")
 	}
+	if started {
+		s.tasks.fail(o.id, now)
+	}
 	if started && s.reboots != nil {
 		r := reboot{vm: o.id, up: now.Add(s.cfg.RebootTime)}
 		if s.reboots.Put(context.Background(), r) != nil {
@@ -108,7 +111,7 @@
 type setVMs struct{ vms []structs.VM }
 
 func (o setVMs) apply(s *state) reply {
-	s.fleet.set(o.vms, s.now())
+	s.setVMs(o.vms, s.now())
 	return ok(struct{}{})
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,9 +26,9 @@
 	Seed       uint64 // of the probabilities
 	Faults     Faults
 	VMs        []structs.VM
-	Workers    []store.Worker
-	RebootTime time.Duration // for which a rebooting VM is not in the list
-	Power      Power         // makes reboots real; nil only changes the list
+	Workers    []store.Worker // besides the VMs, which are workers too
+	RebootTime time.Duration  // for which a rebooting VM is not in the list
+	Power      Power          // makes reboots real; nil only changes the list
 }
 
 // DefaultConfig returns the configuration of a platform without faults.
@@ -166,6 +167,24 @@
 	return rows
 }
 
+// Object returns an object, without limits or faults.
+func (s *Server) Object(name string) ([]byte, bool) {
+	r := s.control(getObject{name})
+	return r.raw, r.status == fasthttp.StatusOK
+}
+
+// Runs returns all runs as they are now.
+func (s *Server) Runs() []store.Run {
+	runs, _ := s.control(allRuns{}).json.([]store.Run)
+	return runs
+}
+
+type allRuns struct{}
+
+func (allRuns) apply(s *state) reply {
+	return ok(s.tasks.usage(s.now(), "", math.MaxInt))
+}
+
 type allRows struct{ prefix string }
 
 func (o allRows) apply(s *state) reply { return ok(s.table.scan(o.prefix, "", len(s.table.cells))) }
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
 )
 
 // class tells which faults and limits apply to a call.
@@ -83,16 +86,29 @@
 		cfg:          cfg,
 		faults:       cfg.Faults,
 		table:        newTable(),
-		tasks:        newTasks(cfg.Workers),
+		tasks:        newTasks(),
 		objects:      make(map[string][]byte),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, 1)),
 		now:          time.Now,
 		silentBefore: silentBefore,
 	}
-	s.fleet.set(cfg.VMs, time.Time{})
+	s.setVMs(cfg.VMs, time.Time{})
 	return s
 }
 
+// setVMs replaces the VM list; each VM is a worker as well.
+func (s *state) setVMs(vms []structs.VM, now time.Time) {
+	s.fleet.set(vms, now)
+	workers := slices.Clone(s.cfg.Workers)
+	for _, vm := range vms {
+		workers = append(workers, store.Worker{
+			ID: vm.ID, DataCentre: vm.DataCentre, Rack: vm.Rack,
+			Cores: vm.Cores, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators,
+		})
+	}
+	s.tasks.setWorkers(workers, now)
+}
+
 // run serves calls until ctx ends.
 func (s *state) run(ctx context.Context, calls *ring.Ring[call]) error {
 	for {
--- a/standin/platform/task_operations.go
+++ b/standin/platform/task_operations.go
@@ -26,6 +26,9 @@
 type startTask struct{ task store.Task }
 
 func (o startTask) apply(s *state) reply {
+	if s.fleet.isAway(o.task.Worker, s.now()) {
+		return reply{status: statusUnavailable, json: wire.Problem{Error: "worker is rebooting"}}
+	}
 	real, usage := traits(s.cfg.Seed, o.task, s.faults.RunSigma, s.faults.UsageSigma)
 	fails := slices.Contains(s.faults.FailWorkers, o.task.Worker)
 	return runReply(s.tasks.start(o.task, s.now(), real, usage, fails))
--- a/standin/platform/tasks.go
+++ b/standin/platform/tasks.go
@@ -57,17 +57,36 @@
 	share    float64
 }
 
-func newTasks(workers []store.Worker) *tasks {
-	t := &tasks{
-		workers:  make(map[string]store.Worker, len(workers)),
+func newTasks() *tasks {
+	return &tasks{
+		workers:  make(map[string]store.Worker),
 		runs:     make(map[string][]*run),
 		onWorker: make(map[string][]*run),
 		tokens:   make(map[string]uint64),
 	}
+}
+
+// setWorkers replaces the workers. Runs on workers that are gone fail.
+func (t *tasks) setWorkers(workers []store.Worker, now time.Time) {
+	clear(t.workers)
 	for _, w := range workers {
 		t.workers[w.ID] = w
 	}
-	return t
+	for id := range t.onWorker {
+		if _, known := t.workers[id]; !known {
+			t.fail(id, now)
+		}
+	}
+}
+
+// fail ends all runs on a worker that went down.
+func (t *tasks) fail(worker string, now time.Time) {
+	for _, r := range t.onWorker[worker] {
+		if r.running(now) {
+			r.failAt = now
+		}
+	}
+	delete(t.onWorker, worker)
 }
 
 // traits draws how a task really behaves. They depend on the task alone: a
--- a/standin/platform/tasks_test.go
+++ b/standin/platform/tasks_test.go
@@ -1,19 +1,22 @@
 package platform
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
 )
 
 // Progress, throttling, checkpoints and leases are computed on demand; an
 // error there makes every experiment with jobs wrong.
 func TestRunIsComputedAtAnyTime(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(1000, 0).Add(time.Duration(s) * time.Second) }
-	ts := newTasks([]store.Worker{{ID: "w", Cores: 1}})
+	ts := newTasks()
+	ts.setWorkers([]store.Worker{{ID: "w", Cores: 1}}, time.Time{})
 	_, err := ts.start(store.Task{ID: "a", Worker: "w", Token: 1, Cores: 1, Lease: 150 * time.Second, Progress: 0.2}, at(0), 100*time.Second, 1, false)
 	require.NoError(t, err)
 	hold := store.Hold{Task: "a", Token: 1}
@@ -42,7 +45,8 @@
 
 func TestLeaseEndsRun(t *testing.T) {
 	now := time.Unix(1000, 0)
-	ts := newTasks([]store.Worker{{ID: "w", Cores: 1}})
+	ts := newTasks()
+	ts.setWorkers([]store.Worker{{ID: "w", Cores: 1}}, time.Time{})
 	_, err := ts.start(store.Task{ID: "a", Worker: "w", Token: 1, Cores: 1, Lease: time.Second}, now, time.Hour, 1, false)
 	require.NoError(t, err)
 	run, err := ts.act(store.Hold{Task: "a", Token: 1}, now.Add(time.Second), func(r *run) { r.leaseEnd = now.Add(time.Hour) })
@@ -52,6 +56,27 @@
 	require.NoError(t, err, "an expired run must give its resources back")
 }
 
+// A worker that reboots or leaves takes its tasks with it; a run that seems to
+// go on would never be placed again.
+func TestRunsEndWithTheirWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := DefaultConfig()
+	cfg.VMs = []structs.VM{{ID: "v1", Cores: 1}, {ID: "v2", Cores: 1}}
+	s := newState(cfg, new(atomic.Int64))
+	s.now = func() time.Time { return now }
+	for _, id := range []string{"v1", "v2"} {
+		r := startTask{store.Task{ID: "on-" + id, Worker: id, Token: 1, Cores: 1, Lease: time.Hour, Declared: time.Hour}}.apply(s)
+		require.Equal(t, store.RunRunning, r.json.(store.Run).State)
+	}
+	now = now.Add(time.Second)
+	require.Equal(t, 200, rebootVM{"v1"}.apply(s).status)
+	require.Equal(t, statusUnavailable, startTask{store.Task{ID: "x", Worker: "v1", Token: 1, Lease: 1, Declared: 1}}.apply(s).status)
+	setVMs{cfg.VMs[:1]}.apply(s)
+	for _, run := range s.tasks.usage(now, "", 10) {
+		require.Equal(t, store.RunFailed, run.State, run.Task)
+	}
+}
+
 // A task must take equally long wherever it runs, and differently from its
 // declaration.
 func TestTraitsDependOnTheTask(t *testing.T) {
--- a/store/workers.go
+++ b/store/workers.go
@@ -17,7 +17,7 @@
 	ErrNeverFits = errors.New("task can never fit on the worker")
 )
 
-// Worker is a machine that runs tasks.
+// Worker is a VM as a machine that runs tasks; ID is the VM's.
 type Worker struct {
 	ID           string
 	DataCentre   string
