Bound the numbers of sections and keys of an INI file

ini.v1 looks up each new section and key in a list, so its time grows with the square of their number: a file of 4 MiB could hold some 600,000 sections. At most 20,000 sections and 64 keys in one are passed to it now. The limit of an object set falls from 8 to 4 MiB; a set of the target size takes 675 KB. The operators' API serves 32 connections at once, not 64.

--- a/peer/operator/listen.go
+++ b/peer/operator/listen.go
@@ -14,7 +14,7 @@
 // scripts, so few connections suffice; the timeouts free those of a client
 // that went silent.
 const (
-	maxConcurrency = 64
+	maxConcurrency = 32
 	readTimeout    = 10 * time.Second
 	writeTimeout   = 30 * time.Second
 	idleTimeout    = time.Minute
--- a/settings/objects.go
+++ b/settings/objects.go
@@ -10,8 +10,8 @@
 )
 
 // MaxObjectBytes bounds an object set's text. A set at the target size (2,000
-// services, 500 teams) takes about 1 MiB.
-const MaxObjectBytes = 8 << 20
+// services, 500 teams) takes 0.7 MB.
+const MaxObjectBytes = 4 << 20
 
 // ObjectFile is a parsed object set with the lines of its objects.
 type ObjectFile struct {
--- a/settings/objects_test.go
+++ b/settings/objects_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -62,9 +64,80 @@
 // must stay short.
 func TestInputIsBounded(t *testing.T) {
 	_, err := ParseObjects("big", make([]byte, MaxObjectBytes+1))
-	require.ErrorContains(t, err, "at most 8388608 bytes")
+	require.ErrorContains(t, err, "at most 4194304 bytes")
 	_, err = ParseObjects("junk", []byte(strings.Repeat("x\n", 5000)))
 	require.ErrorContains(t, err, "and 4800 more")
+	var many strings.Builder
+	for i := range maxSections + 1 {
+		fmt.Fprintf(&many, "[team t%d]\n", i)
+	}
+	_, err = ParseObjects("many", []byte(many.String()))
+	require.ErrorContains(t, err, "many:20001: \"[team t20000]\": want at most 20000 sections")
+	many.Reset()
+	many.WriteString("[team t]\n")
+	for i := range maxKeys + 1 {
+		fmt.Fprintf(&many, "k%d = 1\n", i)
+	}
+	_, err = ParseObjects("keys", []byte(many.String()))
+	require.ErrorContains(t, err, "want at most 64 keys in a section")
+}
+
+// targetSet is a set of the target size: 32 pools, 500 teams, 2,000 services.
+func targetSet() *structs.ObjectSet {
+	s := &structs.ObjectSet{}
+	for i := range 32 {
+		name := fmt.Sprintf("pool-%05d", i)
+		s.Pools = append(s.Pools, defaultPool(name))
+		b, p := defaultBudget(name), defaultStopPlan(name)
+		b.Pool, b.MaxUnavailable, p.Pool, p.Width, p.Every = name, 10, name, 5, 672*time.Hour
+		s.Budgets, s.StopPlans = append(s.Budgets, b), append(s.StopPlans, p)
+	}
+	for i := range 500 {
+		s.Teams = append(s.Teams, defaultTeam(fmt.Sprintf("team-%05d", i)))
+	}
+	for i := range 2000 {
+		v := defaultService(fmt.Sprintf("service-%05d", i))
+		v.Pool, v.Team, v.Timeout = s.Pools[i%32].Name, s.Teams[i%500].Name, time.Second
+		v.Idempotent, v.Once = []string{"get", "list", "status"}, []string{"pay"}
+		s.Services = append(s.Services, v)
+	}
+	return s
+}
+
+func BenchmarkTarget(b *testing.B) {
+	set := targetSet()
+	text, err := FormatObjects(set)
+	require.NoError(b, err)
+	b.Run("parse", func(b *testing.B) {
+		b.SetBytes(int64(len(text)))
+		for b.Loop() {
+			_, err := ParseObjects("b", text)
+			require.NoError(b, err)
+		}
+	})
+	b.Run("format", func(b *testing.B) {
+		b.SetBytes(int64(len(text)))
+		for b.Loop() {
+			_, err := FormatObjects(set)
+			require.NoError(b, err)
+		}
+	})
+}
+
+// The largest file that the bounds admit must not occupy a controller for long.
+func BenchmarkParseLargest(b *testing.B) {
+	var text strings.Builder
+	for i := range maxSections {
+		fmt.Fprintf(&text, "[team t%d]\n", i)
+		for k := 0; k < 20 && text.Len() < MaxObjectBytes-maxSections*18; k++ {
+			fmt.Fprintf(&text, "k%d = 1234567890\n", k)
+		}
+	}
+	require.LessOrEqual(b, text.Len(), MaxObjectBytes)
+	for b.Loop() {
+		_, err := ParseObjects("b", []byte(text.String()))
+		require.Error(b, err)
+	}
 }
 
 func TestProcess(t *testing.T) {
--- a/settings/text.go
+++ b/settings/text.go
@@ -8,6 +8,15 @@
 	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
+
+	"github.com/carobwharf/carobwharf/configcheck"
+)
+
+// ini.v1 looks up each new section and key in a list, which takes quadratic
+// time, so their numbers are bounded before it sees the text.
+const (
+	maxSections = configcheck.MaxObjects
+	maxKeys     = 64 // of one section
 )
 
 const (
@@ -74,6 +83,11 @@
 		case line == "" || line[0] == '#' || line[0] == ';':
 		case line[0] == '[':
 			current = d.openSection(number, line, seen)
+			if len(d.sections) > maxSections {
+				d.refuse(number, nil, "", line, fmt.Sprintf("at most %d sections", maxSections))
+				d.sections = nil
+				return nil
+			}
 			if !current.broken {
 				fmt.Fprintf(&clean, "[%s]\n", current.name)
 			}
@@ -127,6 +141,8 @@
 		d.refuse(number, nil, key, value, "a [section] before the first key")
 	case !validKey(key):
 		d.refuse(number, s, key, value, wantKeyName)
+	case len(s.lines) >= maxKeys:
+		d.refuse(number, s, key, value, fmt.Sprintf("at most %d keys in a section", maxKeys))
 	case s.lines[key] != 0:
 		d.refuse(number, s, key, value, fmt.Sprintf("each key once, the first is at line %d", s.lines[key]))
 	case strings.ContainsAny(value[:min(1, len(value))], "\"'`"):
