Follow configuration changes by delta

The set of the target size is 546,569 bytes encoded (2,000 services, 500 teams), so reading it whole after each change would take some 450 KB/s. The row of each generation now carries the delta from the one before, up to 16 KiB; a process that is at most 32 generations behind follows the rows and verifies the head's hash over the result. If a row or a delta is missing, or the hash differs, it reads the whole set.

--- a/daemon/controller/publisher/attempt.go
+++ b/daemon/controller/publisher/attempt.go
@@ -92,7 +92,7 @@
 			return Result{}, false, &Rejected{Findings: findings, Rebased: true}
 		}
 	}
-	return a.publish(ctx, plan, version)
+	return a.publish(ctx, plan, &head.Set, version)
 }
 
 // settled reports whether an earlier commit of the submission took effect.
@@ -175,8 +175,8 @@
 	return a.opts.Platform.Get(ctx, key)
 }
 
-// publish writes the set's object and then moves the head.
-func (a *attempt) publish(ctx context.Context, plan publication.Plan, headVersion uint64) (Result, bool, error) {
+// publish writes the set's object and then moves the head from previous.
+func (a *attempt) publish(ctx context.Context, plan publication.Plan, previous *structs.ObjectSet, headVersion uint64) (Result, bool, error) {
 	data, hash, err := rows.EncodeSet(&plan.Set)
 	if err != nil {
 		return Result{}, false, err
@@ -184,7 +184,11 @@
 	if err := a.putObject(ctx, rows.SetObject(hash), data); err != nil {
 		return Result{}, false, err
 	}
-	ops, err := a.transaction(plan.Generation, hash, headVersion)
+	delta, err := rows.InlineDelta(publication.Diff(previous, &plan.Set))
+	if err != nil {
+		return Result{}, false, err
+	}
+	ops, err := a.transaction(plan.Generation, hash, delta, headVersion)
 	if err != nil {
 		return Result{}, false, err
 	}
@@ -221,13 +225,13 @@
 }
 
 // transaction moves the head and records the submission and the generation.
-func (a *attempt) transaction(generation uint64, hash string, headVersion uint64) ([]store.Op, error) {
+func (a *attempt) transaction(generation uint64, hash string, delta *publication.Delta, headVersion uint64) ([]store.Op, error) {
 	now := a.opts.Now().UTC().Truncate(time.Millisecond)
 	head, err1 := rows.EncodeHead(rows.Head{Generation: generation, Hash: hash,
 		Base: a.submission.Base, Submission: a.submission.ID, Time: now})
 	submission, err2 := rows.EncodeSubmission(rows.Submission{Generation: generation, Hash: hash,
 		Submitted: a.submitted, Base: a.submission.Base, Time: now})
-	record, err3 := rows.EncodeGeneration(rows.Generation{Hash: hash, Submission: a.submission.ID, Time: now})
+	record, err3 := rows.EncodeGeneration(rows.Generation{Hash: hash, Submission: a.submission.ID, Time: now, Delta: delta})
 	headOp := store.Op{Kind: store.OpUpdate, Key: store.KeyConfigHead, Expect: headVersion, Value: head}
 	if headVersion == 0 {
 		headOp.Kind = store.OpInsert
--- a/node/configwatch/fetch.go
+++ b/node/configwatch/fetch.go
@@ -64,6 +64,9 @@
 	if head.Generation <= generationOf(f.current) {
 		return nil, "", nil
 	}
+	if set, err := f.readDeltas(ctx, head); err == nil {
+		return &structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set}, "platform (delta)", nil
+	}
 	set, err := f.readSet(ctx, head)
 	if err == nil {
 		return &structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set}, "platform", nil
--- a/node/configwatch/watch.go
+++ b/node/configwatch/watch.go
@@ -29,6 +29,7 @@
 // Platform is the part of the platform that the duty reads.
 type Platform interface {
 	Get(ctx context.Context, key string) (store.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error)
 	GetObject(ctx context.Context, name string) ([]byte, error)
 }
 
--- a/node/configwatch/watch_test.go
+++ b/node/configwatch/watch_test.go
@@ -13,6 +13,7 @@
 	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/internal/fakestore"
 	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/publication"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
@@ -147,3 +148,33 @@
 	_, err := other.fromPeers(t.Context(), 2, "00")
 	require.ErrorContains(t, err, "hash")
 }
+
+// A small change must not cost the whole set, and a delta that does not lead
+// to the head's hash must not come into force.
+func TestFollowsDeltas(t *testing.T) {
+	for name, last := range map[string]*structs.Config{"good": config(t, 3, 12), "wrong": config(t, 3, 99)} {
+		t.Run(name, func(t *testing.T) {
+			p := fakestore.New(t.Context())
+			first, second, third := config(t, 1, 10), config(t, 2, 11), config(t, 3, 12)
+			for _, step := range [][2]*structs.Config{{first, second}, {second, last}} {
+				delta, err := rows.InlineDelta(publication.Diff(&step[0].Set, &step[1].Set))
+				require.NoError(t, err)
+				value, err := rows.EncodeGeneration(rows.Generation{Hash: step[1].Hash, Delta: delta})
+				require.NoError(t, err)
+				_, err = p.Commit(t.Context(), []store.Op{
+					{Kind: store.OpInsert, Key: store.KeyGeneration(step[1].Generation), Value: value}})
+				require.NoError(t, err)
+			}
+			publish(t, p, third, false) // without the object, only the deltas lead there
+			o := Options{Platform: p, Timeout: time.Second}
+			f := fetch{opts: &o, current: first}
+			r := f.run(t.Context())
+			if name == "wrong" {
+				require.ErrorIs(t, r.err, errObject)
+				return
+			}
+			require.NoError(t, r.err)
+			require.Equal(t, third, r.config)
+		})
+	}
+}
--- a/rows/rows_test.go
+++ b/rows/rows_test.go
@@ -1,12 +1,14 @@
 package rows
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobwharf/carobwharf/publication"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
@@ -73,3 +75,57 @@
 	require.NoError(t, VerifyConfig(&structs.Config{Hash: hashA, Set: a}))
 	require.Error(t, VerifyConfig(&structs.Config{Hash: "00", Set: a}))
 }
+
+// A change of one object of a set at the target size must stay small.
+func TestDeltaBytes(t *testing.T) {
+	older, newer := targetSet(), targetSet()
+	newer.Services[7].Queue++
+	d := publication.Diff(&older, &newer)
+	data, err := EncodeDelta(&d)
+	require.NoError(t, err)
+	whole, hash, err := EncodeSet(&newer)
+	require.NoError(t, err)
+	t.Logf("delta of one service: %d bytes, whole set: %d bytes", len(data), len(whole))
+	require.Less(t, len(data), 1000)
+	back, err := DecodeDelta(data)
+	require.NoError(t, err)
+	applied, err := publication.Apply(&older, &back)
+	require.NoError(t, err)
+	require.NoError(t, VerifyConfig(&structs.Config{Hash: hash, Set: applied}))
+}
+
+func targetSet() structs.ObjectSet {
+	var s structs.ObjectSet
+	for i := range 2000 {
+		s.Services = append(s.Services, structs.Service{
+			Name: fmt.Sprintf("service-%05d", i), Pool: "counter", Class: structs.ClassUrgent, Share: 0.01,
+			Team: "sales", Idempotent: []string{"get", "list"}, Once: []string{"pay"}, Timeout: time.Second,
+			Queue: 64, MaxBody: 1 << 20, RetryRatio: 0.1, Retention: time.Hour, Legacy: structs.LegacyNone,
+		})
+	}
+	for i := range 500 {
+		s.Teams = append(s.Teams, structs.Team{Name: fmt.Sprintf("team-%05d", i), Slots: 10, Weight: 1})
+	}
+	return s
+}
+
+func BenchmarkTarget(b *testing.B) {
+	older, newer := targetSet(), targetSet()
+	newer.Services[7].Queue++
+	d := publication.Diff(&older, &newer)
+	data, hash, err := EncodeSet(&older)
+	require.NoError(b, err)
+	for name, work := range map[string]func() error{
+		"encode": func() error { _, _, err := EncodeSet(&older); return err },
+		"decode": func() error { _, err := DecodeSet(data, hash); return err },
+		"diff":   func() error { publication.Diff(&older, &newer); return nil },
+		"apply":  func() error { _, err := publication.Apply(&older, &d); return err },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				require.NoError(b, work())
+			}
+		})
+	}
+}
