Follow hints by delta and spare a failed platform

A hint of a peer led to a transfer of the whole set from that peer, half a megabyte at the target size, although the platform has the same change as some hundred bytes. A hint is now followed to the generations' rows first, with one read, and to the peers if the rows do not lead on or the last call to the platform failed. A read of the head still checks the delta's result against the head's hash.

--- a/node/configwatch/delta.go
+++ b/node/configwatch/delta.go
@@ -15,45 +15,49 @@
 // process that is further behind reads the whole set.
 const maxDeltas = 32
 
-// errNoDeltas: the generations' rows do not lead from the current
-// configuration to the head.
-var errNoDeltas = errors.New("no deltas to the head")
+// errNoDeltas: the generations' rows do not lead on from the current
+// configuration.
+var errNoDeltas = errors.New("no deltas from the current generation")
 
-// readDeltas follows the deltas in the generations' rows from the current
-// configuration to the head. At the target size this reads some hundred bytes
-// for a change of one object in place of half a megabyte for the set.
-func (f *fetch) readDeltas(ctx context.Context, head rows.Head) (structs.ObjectSet, error) {
-	if f.current == nil || head.Generation-f.current.Generation > maxDeltas {
-		return structs.ObjectSet{}, errNoDeltas
+// errScan: the platform did not give the generations' rows.
+var errScan = errors.New("read generations")
+
+// fromDeltas follows the deltas in the generations' rows from the current
+// configuration towards wanted. At the target size this reads some hundred
+// bytes for a change of one object in place of half a megabyte for the set.
+func (f *fetch) fromDeltas(ctx context.Context, wanted uint64) (*structs.Config, error) {
+	if f.current == nil || wanted-f.current.Generation > maxDeltas {
+		return nil, errNoDeltas
 	}
-	missing := int(head.Generation - f.current.Generation)
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
-	found, err := f.opts.Platform.Scan(ctx, store.PrefixGeneration, store.KeyGeneration(f.current.Generation), missing)
+	found, err := f.opts.Platform.Scan(ctx, store.PrefixGeneration, store.KeyGeneration(f.current.Generation), maxDeltas)
 	if err != nil {
-		return structs.ObjectSet{}, fmt.Errorf("read generations: %w", err)
-	}
-	if len(found) != missing {
-		return structs.ObjectSet{}, errNoDeltas
+		return nil, fmt.Errorf("%w: %w", errScan, err)
 	}
-	return follow(f.current, found, head)
+	return follow(f.current, found)
 }
 
 // follow applies the deltas of the rows in turn and verifies that the result
-// is the head's set.
-func follow(current *structs.Config, found []store.Row, head rows.Head) (structs.ObjectSet, error) {
-	set := current.Set
-	for i, row := range found {
+// has the hash of the last generation.
+func follow(current *structs.Config, found []store.Row) (*structs.Config, error) {
+	if len(found) == 0 {
+		return nil, errNoDeltas
+	}
+	next := *current
+	for _, row := range found {
 		g, err := rows.DecodeGeneration(row.Value)
 		if err != nil {
-			return set, err
+			return nil, err
 		}
-		if row.Key != store.KeyGeneration(current.Generation+uint64(i)+1) || g.Delta == nil {
-			return set, errNoDeltas
+		if row.Key != store.KeyGeneration(next.Generation+1) || g.Delta == nil {
+			return nil, errNoDeltas
 		}
-		if set, err = publication.Apply(&set, g.Delta); err != nil {
-			return set, err
+		set, err := publication.Apply(&next.Set, g.Delta)
+		if err != nil {
+			return nil, err
 		}
+		next = structs.Config{Generation: next.Generation + 1, Hash: g.Hash, Set: set}
 	}
-	return set, rows.VerifyConfig(&structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set})
+	return &next, rows.VerifyConfig(&next)
 }
--- a/node/configwatch/fetch.go
+++ b/node/configwatch/fetch.go
@@ -19,63 +19,83 @@
 	opts    *Options
 	current *structs.Config
 	hinted  uint64
+	// platformFailed: the last call to the platform failed, so a hint is
+	// followed to a peer without waiting for another timeout.
+	platformFailed bool
 }
 
-// run asks peers first for a generation that they told of: they have it at
-// hand, and the platform is spared the same read from every process. Without
-// a hint the platform's head comes first. A process without a configuration
-// starts from its peers when the platform is down.
+// run follows a hint to the platform's deltas, which are small, and then to
+// the peers, which have the set at hand. Without a hint, or if neither has
+// the generation, it reads the platform's head. A process without a
+// configuration starts from its peers when the platform is down.
 func (f *fetch) run(ctx context.Context) result {
 	var hintErr error
 	if f.hinted > generationOf(f.current) {
-		c, err := f.fromPeers(ctx, f.hinted, "")
-		if err == nil {
-			return result{config: c, source: "peer"}
+		r := f.followHint(ctx)
+		if r.err == nil {
+			return r
 		}
-		hintErr = err
+		hintErr = r.err
 	}
-	c, source, err := f.fromPlatform(ctx)
-	if err == nil {
-		return result{config: c, source: source}
+	r := f.fromPlatform(ctx)
+	if r.err == nil {
+		return r
 	}
-	if f.current != nil || errors.Is(err, errObject) {
-		return result{err: errors.Join(err, hintErr)}
+	r.err = errors.Join(r.err, hintErr)
+	r.platformFailed = !errors.Is(r.err, errObject)
+	if !r.platformFailed || f.current != nil {
+		return r
 	}
-	c, peerErr := f.fromPeers(ctx, 0, "")
-	if peerErr != nil {
-		return result{err: errors.Join(err, peerErr)}
+	c, err := f.fromPeers(ctx, 0, "")
+	if err != nil {
+		return result{err: errors.Join(r.err, err), platformFailed: true}
 	}
-	return result{config: c, source: "peer"}
+	return result{config: c, source: "peer", platformFailed: true}
+}
+
+func (f *fetch) followHint(ctx context.Context) result {
+	deltaErr := errNoDeltas
+	if !f.platformFailed {
+		var c *structs.Config
+		if c, deltaErr = f.fromDeltas(ctx, f.hinted); deltaErr == nil {
+			return result{config: c, source: "delta"}
+		}
+	}
+	c, err := f.fromPeers(ctx, f.hinted, "")
+	if err != nil {
+		return result{err: errors.Join(deltaErr, err)}
+	}
+	return result{config: c, source: "peer", platformFailed: f.platformFailed || errors.Is(deltaErr, errScan)}
 }
 
 // errObject: the head was read, but neither the platform nor a peer gave its set.
 var errObject = errors.New("set not available")
 
-// fromPlatform returns nil if the head is not newer than the current
-// configuration or does not exist.
-func (f *fetch) fromPlatform(ctx context.Context) (*structs.Config, string, error) {
+// fromPlatform returns no configuration if the head is not newer than the
+// current one or does not exist.
+func (f *fetch) fromPlatform(ctx context.Context) result {
 	head, err := f.readHead(ctx)
-	if errors.Is(err, store.ErrNotFound) {
-		return nil, "", nil
-	}
-	if err != nil {
-		return nil, "", err
-	}
-	if head.Generation <= generationOf(f.current) {
-		return nil, "", nil
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return result{}
+	case err != nil:
+		return result{err: err}
+	case head.Generation <= generationOf(f.current):
+		return result{}
 	}
-	if set, err := f.readDeltas(ctx, head); err == nil {
-		return &structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set}, "platform (delta)", nil
+	c, err := f.fromDeltas(ctx, head.Generation)
+	if err == nil && (c.Generation > head.Generation || c.Hash == head.Hash) {
+		return result{config: c, source: "delta"}
 	}
 	set, err := f.readSet(ctx, head)
 	if err == nil {
-		return &structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set}, "platform", nil
+		return result{config: &structs.Config{Generation: head.Generation, Hash: head.Hash, Set: set}, source: "platform"}
 	}
 	c, peerErr := f.fromPeers(ctx, head.Generation, head.Hash)
 	if peerErr != nil {
-		return nil, "", fmt.Errorf("%w: %w", errObject, errors.Join(err, peerErr))
+		return result{err: fmt.Errorf("%w: %w", errObject, errors.Join(err, peerErr))}
 	}
-	return c, "peer", nil
+	return result{config: c, source: "peer"}
 }
 
 func (f *fetch) readHead(ctx context.Context) (rows.Head, error) {
--- a/node/configwatch/watch.go
+++ b/node/configwatch/watch.go
@@ -1,7 +1,8 @@
 // Package configwatch is the duty that keeps a process's configuration
 // current. It learns of new generations from a jittered read of the
-// platform's head and from peers, fetches the set from the platform or from a
-// peer, verifies its hash and publishes it to the other duties.
+// platform's head and from peers, follows the deltas in the platform's rows or
+// fetches the whole set from the platform or a peer, verifies its hash and
+// publishes it to the other duties.
 package configwatch
 
 import (
@@ -62,15 +63,18 @@
 	results *ring.Ring[result]
 	current atomic.Pointer[structs.Config]
 
-	hinted   uint64 // highest generation that peers told of
-	fetching bool
-	failing  bool // the last fetch failed; only the first failure in a row is logged
+	hinted         uint64 // highest generation that peers told of
+	fetching       bool
+	failing        bool // the last fetch failed; only the first failure in a row is logged
+	platformFailed bool // the last call to the platform failed
 }
 
 type result struct {
 	config *structs.Config // nil if there is nothing newer
 	source string
 	err    error
+
+	platformFailed bool
 }
 
 // New returns the duty. It fails if the metrics of its rings are taken.
@@ -156,7 +160,7 @@
 	if w.fetching {
 		return
 	}
-	f := fetch{opts: &w.opts, current: w.Current(), hinted: w.hinted}
+	f := fetch{opts: &w.opts, current: w.Current(), hinted: w.hinted, platformFailed: w.platformFailed}
 	err := w.opts.Pool.Go(func() {
 		// The result is posted even if the fetch panics, or the duty would
 		// wait for it forever.
@@ -172,7 +176,7 @@
 }
 
 func (w *Watch) finishFetch(ctx context.Context, r result) {
-	w.fetching = false
+	w.fetching, w.platformFailed = false, r.platformFailed
 	if r.err != nil {
 		w.noteFailure(r.err)
 		// Peers repeat the hint. Until then only the timer starts a fetch.
--- a/node/configwatch/watch_test.go
+++ b/node/configwatch/watch_test.go
@@ -178,3 +178,30 @@
 		})
 	}
 }
+
+// A hint must not cost a timeout of a platform that is known to be down, and
+// must not move the whole set while the platform has the delta.
+func TestHintUsesDeltaUnlessThePlatformFailed(t *testing.T) {
+	p := fakestore.New(t.Context())
+	first, second := config(t, 1, 10), config(t, 2, 11)
+	delta, err := rows.InlineDelta(publication.Diff(&first.Set, &second.Set))
+	require.NoError(t, err)
+	value, err := rows.EncodeGeneration(rows.Generation{Hash: second.Hash, Delta: delta})
+	require.NoError(t, err)
+	_, err = p.Commit(t.Context(), []store.Op{{Kind: store.OpInsert, Key: store.KeyGeneration(2), Value: value}})
+	require.NoError(t, err)
+	o := Options{Platform: p, Peers: &peer{second}, Timeout: time.Second}
+	for _, c := range []struct {
+		failed bool
+		source string
+		reads  int64
+	}{{false, "delta", 1}, {true, "peer", 0}} {
+		before := p.Reads.Load()
+		f := fetch{opts: &o, current: first, hinted: 2, platformFailed: c.failed}
+		r := f.run(t.Context())
+		require.NoError(t, r.err)
+		require.Equal(t, second, r.config)
+		require.Equal(t, c.source, r.source)
+		require.Equal(t, c.reads, p.Reads.Load()-before)
+	}
+}
