Test whole deployments of real processes under kills, freezes and outages

Cause: the invariants have to hold for real processes, not only in packages. internal/systemtest builds the binary, starts stand-ins, controllers and gateways, applies load and checks the history with two independent checkers. Ruled out: reserving ports before the start (another process can take them); the tests read the addresses from the JSON log. Starting the load before all VMs have an owner: the queue of a pool with few VMs then made 236 calls end with the killed gateway, which says nothing about kills. Change besides: a stopping gateway takes requests for drain_grace (2 s) after it reports not ready, so that the load balancer notices first.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -18,7 +18,7 @@
 		Use:   "standin",
 		Short: "Run a stand-in of an external system for tests and experiments",
 	}
-	cmd.AddCommand(newStandinPlatformCmd(), newStandinEndpointCmd())
+	cmd.AddCommand(newStandinPlatformCmd(), newStandinEndpointCmd(), newStandinPassthroughCmd())
 	return cmd
 }
 
--- a/daemon/process/gateway.go
+++ b/daemon/process/gateway.go
@@ -130,8 +130,9 @@
 }
 
 // Run runs all duties until ctx ends or a duty fails, then drains: readiness
-// goes off, callers are told to turn to another gateway, requests in the
-// process are answered, then the duties end.
+// goes off, answers tell callers to turn to another gateway, new requests are
+// refused after the grace period, those in the process are answered, and then
+// the duties end.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.sup.Start(ctx)
 	g.base.opts.Log.Info("gateway started", "callers", g.addr, "peers", g.PeerAddr(), "admin", g.AdminAddr())
@@ -147,6 +148,12 @@
 func (g *Gateway) stop(ctx context.Context) error {
 	g.draining.Store(true)
 	g.callers.Drain()
+	grace := time.NewTimer(g.base.set.Gateway.DrainGrace)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-g.sup.Failed():
+	}
 	drainErr := g.data.Drain(ctx)
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -105,6 +105,7 @@
 	p.DataCentre = dataCentres[n%len(dataCentres)]
 	p.Platform.Addr = d.platform.Addr()
 	p.Controller.OperatorKey = operatorKey
+	p.Gateway.DrainGrace = time.Millisecond // the load has ended before the stop
 	for _, c := range d.controllers {
 		p.Seeds = append(p.Seeds, c.PeerAddr())
 	}
--- /dev/null
+++ b/internal/systemtest/deployment_test.go
@@ -0,0 +1,271 @@
+package systemtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/history"
+	"github.com/carobwharf/carobwharf/load"
+	"github.com/carobwharf/carobwharf/peer/caller"
+	"github.com/carobwharf/carobwharf/peer/operator"
+	"github.com/carobwharf/carobwharf/peer/platform"
+	"github.com/carobwharf/carobwharf/standin/endpoint"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+const (
+	operatorKey = "systemtest-operator-key"
+	vmCount     = 50
+)
+
+// deployment is a set of processes with the demonstration's objects.
+type deployment struct {
+	t                   *testing.T
+	dir                 string
+	platform, endpoints *child
+	controllers         []*child
+	balancer            *balancer
+	seeds               []string
+	started             int
+}
+
+func newDeployment(t *testing.T, controllers, gateways int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t)}
+	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
+	d.endpoints = start(t, "endpoints", standinReady, "standin", "endpoint", "--control", "127.0.0.1:0",
+		"--count", strconv.Itoa(vmCount), "--port", "0", "--mean", "20ms", "--sigma", "0.5",
+		"--service", "catalogue=legacy:chunked", "--service", "registry=legacy:close",
+		"--register", d.platform.addrs["listen"])
+	for range controllers {
+		d.controllers = append(d.controllers, d.startController())
+	}
+	d.submit()
+	d.waitAdopted()
+	for range gateways {
+		d.balancer.add(d.startGateway())
+	}
+	d.balancer.waitReady(gateways)
+	return d
+}
+
+func (d *deployment) settings(role string) (name, file string) {
+	d.started++
+	name = fmt.Sprintf("%s-%d", role, d.started)
+	text := fmt.Sprintf(`[process]
+id = %s
+data_centre = dc%d
+peer_listen = 127.0.0.1:0
+admin_listen = 127.0.0.1:0
+%s
+[log]
+level = info
+format = json
+[platform]
+addr = %s
+timeout = 1s
+[membership]
+interval = 200ms
+suspect_after = 1s
+remove_after = 1s
+row_lifetime = 5s
+[gateway]
+listen = 127.0.0.1:0
+drain_grace = 1s
+[controller]
+operator_listen = 127.0.0.1:0
+operator_key = %s
+lease_duration = 3s
+reconcile = 300ms
+`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey)
+	file = filepath.Join(d.dir, name+".ini")
+	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
+	return name, file
+}
+
+func (d *deployment) seedLine() string {
+	if len(d.seeds) == 0 {
+		return ""
+	}
+	return "seeds = " + strings.Join(d.seeds, ", ")
+}
+
+func (d *deployment) startController() *child {
+	name, file := d.settings("controller")
+	return start(d.t, name, daemonReady, "controller", "--settings", file)
+}
+
+func (d *deployment) startGateway() *child {
+	name, file := d.settings("gateway")
+	c := start(d.t, name, daemonReady, "gateway", "--settings", file)
+	d.seeds = append(d.seeds, c.addrs["peers"])
+	return c
+}
+
+func (d *deployment) submit() {
+	text, err := os.ReadFile("../../demo/fleet.ini")
+	require.NoError(d.t, err)
+	client := operator.NewClient(d.controllers[0].addrs["operators"], operatorKey)
+	_, err = client.Submit(context.Background(), "systemtest-1", 0, "fleet.ini", text)
+	require.NoError(d.t, err)
+}
+
+// waitAdopted waits until every VM belongs to a pool.
+func (d *deployment) waitAdopted() {
+	client := platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
+	defer client.Close()
+	require.Eventually(d.t, func() bool {
+		rows, err := store.ScanAll(context.Background(), client, store.PrefixVM)
+		return err == nil && len(rows) == vmCount
+	}, 30*time.Second, 100*time.Millisecond)
+}
+
+// platformFaults changes fault switches of the platform stand-in.
+func (d *deployment) platformFaults(faults string) {
+	resp, err := http.Post("http://"+d.platform.addrs["listen"]+"/faults", "application/json", strings.NewReader(faults))
+	require.NoError(d.t, err)
+	require.NoError(d.t, resp.Body.Close())
+	require.Equal(d.t, http.StatusOK, resp.StatusCode)
+}
+
+// load applies the demonstration's mix while disturb runs, and returns the
+// results with the history checked.
+func (d *deployment) load(length time.Duration, seed uint64, disturb func()) (*load.Result, *history.Report) {
+	mix, err := load.ReadMix("../../demo/mix.ini")
+	require.NoError(d.t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		disturb()
+	}()
+	var recorded bytes.Buffer
+	result, err := load.Run(context.Background(), d.balancer, load.Options{Mix: mix, Seed: seed, Length: length, History: &recorded})
+	require.NoError(d.t, err)
+	<-done
+	h, err := history.Read(&recorded)
+	require.NoError(d.t, err)
+	h.Effects = d.effects()
+	d.logErrors(h)
+	report := history.Check(h, history.Options{})
+	report.Findings = append(report.Findings, history.Linearize(h, history.Options{}, 10*time.Second)...)
+	d.t.Logf("seed %d\n%s\n%s", seed, result, report)
+	return result, report
+}
+
+// logErrors counts the calls without an answer by their error.
+func (d *deployment) logErrors(h *history.History) {
+	count := map[string]int{}
+	for _, a := range h.Answers {
+		if a.Error != "" {
+			count[a.Error]++
+		}
+	}
+	for text, n := range count {
+		d.t.Logf("%d calls without an answer: %s", n, text)
+	}
+}
+
+func (d *deployment) effects() []history.Effect {
+	resp, err := http.Get("http://" + d.endpoints.addrs["listen"] + "/effects")
+	require.NoError(d.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(d.t, err)
+	var log endpoint.Log
+	require.NoError(d.t, json.Unmarshal(body, &log))
+	require.Zero(d.t, log.Dropped)
+	out := make([]history.Effect, len(log.Effects))
+	for i, e := range log.Effects {
+		out[i] = history.Effect{ID: e.ID, Key: e.Key, Service: e.Service, Operation: e.Operation, VM: e.VM, Digest: e.BodyHash}
+	}
+	return out
+}
+
+// balancer sends each call to the next gateway that reports to be ready, as
+// the platform's load balancer does.
+type balancer struct {
+	t        *testing.T
+	gateways chan []*target // the current list; taken and put back to change it
+	ready    atomic.Pointer[[]*target]
+	next     atomic.Uint64
+}
+
+type target struct {
+	client *caller.Client
+	admin  *operator.Client
+}
+
+// checkInterval is that of the load balancer's health checks; it is well below
+// the gateways' drain grace.
+const checkInterval = 50 * time.Millisecond
+
+func newBalancer(t *testing.T) *balancer {
+	b := &balancer{t: t, gateways: make(chan []*target, 1)}
+	b.gateways <- nil
+	b.ready.Store(&[]*target{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		tick := time.NewTicker(checkInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+				b.check(ctx)
+			}
+		}
+	}()
+	return b
+}
+
+func (b *balancer) add(c *child) {
+	list := <-b.gateways
+	b.gateways <- append(list[:len(list):len(list)], &target{
+		client: caller.NewClient(caller.ClientConfig{Addr: c.addrs["callers"], MaxConnections: 512}),
+		admin:  operator.NewClient(c.addrs["admin"], ""),
+	})
+}
+
+func (b *balancer) check(ctx context.Context) {
+	list := <-b.gateways
+	b.gateways <- list
+	var ready []*target
+	for _, g := range list {
+		probe, cancel := context.WithTimeout(ctx, checkInterval)
+		if _, err := g.admin.Admin(probe, "/readyz"); err == nil {
+			ready = append(ready, g)
+		}
+		cancel()
+	}
+	b.ready.Store(&ready)
+}
+
+// waitReady waits until n gateways are ready.
+func (b *balancer) waitReady(n int) {
+	require.Eventually(b.t, func() bool { return len(*b.ready.Load()) >= n }, 30*time.Second, checkInterval)
+}
+
+// Call sends the request through the next ready gateway.
+func (b *balancer) Call(ctx context.Context, req *structs.Request) (structs.Answer, error) {
+	ready := *b.ready.Load()
+	if len(ready) == 0 {
+		return structs.Answer{}, caller.ErrNoAnswer
+	}
+	return ready[b.next.Add(1)%uint64(len(ready))].client.Call(ctx, req)
+}
--- /dev/null
+++ b/internal/systemtest/harness_test.go
@@ -0,0 +1,120 @@
+// Package systemtest runs whole deployments of real processes on loopback,
+// kills, freezes and replaces them under load, and checks the history.
+package systemtest
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "carobwharf-systemtest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "carobwharf")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/carobwharf").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// child is a running process of the deployment.
+type child struct {
+	t     *testing.T
+	name  string
+	cmd   *exec.Cmd
+	ended chan error
+	addrs map[string]string // from its start line
+}
+
+// start runs the binary and waits until ready reads the addresses from a line
+// of its output.
+func start(t *testing.T, name string, ready func(line string) map[string]string, args ...string) *child {
+	t.Helper()
+	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1)}
+	out, in := io.Pipe()
+	c.cmd.Stdout, c.cmd.Stderr = in, in
+	require.NoError(t, c.cmd.Start())
+	found := make(chan map[string]string, 1)
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			if addrs := ready(lines.Text()); addrs != nil {
+				found <- addrs
+			} else if os.Getenv("SYSTEMTEST_VERBOSE") != "" {
+				fmt.Println(name, lines.Text())
+			}
+		}
+	}()
+	go func() {
+		c.ended <- c.cmd.Wait()
+		in.Close()
+	}()
+	t.Cleanup(c.kill)
+	select {
+	case c.addrs = <-found:
+	case err := <-c.ended:
+		c.ended <- err
+		t.Fatalf("%s ended before it was ready: %v", name, err)
+	}
+	return c
+}
+
+func (c *child) signal(s syscall.Signal) { require.NoError(c.t, c.cmd.Process.Signal(s)) }
+
+// kill ends the process without a chance to clean up.
+func (c *child) kill() {
+	_ = c.cmd.Process.Kill()
+	err := <-c.ended
+	c.ended <- err
+}
+
+// terminate asks for a graceful stop and waits for it.
+func (c *child) terminate() {
+	c.signal(syscall.SIGTERM)
+	err := <-c.ended
+	c.ended <- err
+	require.NoError(c.t, err, "%s did not stop cleanly", c.name)
+}
+
+func standinReady(line string) map[string]string {
+	if addr, ok := strings.CutPrefix(line, "listening on "); ok {
+		return map[string]string{"listen": addr}
+	}
+	return nil
+}
+
+// daemonReady reads the start line of the JSON log.
+func daemonReady(line string) map[string]string {
+	var fields map[string]any
+	if json.Unmarshal([]byte(line), &fields) != nil || !strings.HasSuffix(fmt.Sprint(fields["@message"]), " started") {
+		return nil
+	}
+	addrs := map[string]string{}
+	for k, v := range fields {
+		if s, ok := v.(string); ok {
+			addrs[k] = s
+		}
+	}
+	return addrs
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -66,7 +66,8 @@
 	ConnIdle        time.Duration // idle endpoint connections are closed
 	ConnAge         time.Duration // older endpoint connections are replaced
 	LeaveHold       time.Duration // a leaving endpoint is not used again before this
-	DrainTimeout    time.Duration // bound of a graceful stop
+	DrainGrace      time.Duration // a stopping gateway still takes requests for this long, until the load balancer sees that it is not ready
+	DrainTimeout    time.Duration // bound of a graceful stop after that
 }
 
 // Controller configures the controller role.
@@ -115,6 +116,7 @@
 			ConnIdle:        30 * time.Second,
 			ConnAge:         5 * time.Minute,
 			LeaveHold:       30 * time.Second,
+			DrainGrace:      2 * time.Second,
 			DrainTimeout:    20 * time.Second,
 		},
 		Controller: Controller{
--- a/settings/processfile.go
+++ b/settings/processfile.go
@@ -135,6 +135,7 @@
 	long("conn_idle", func(p *Process) *time.Duration { return &p.Gateway.ConnIdle }),
 	long("conn_age", func(p *Process) *time.Duration { return &p.Gateway.ConnAge }),
 	short("leave_hold", func(p *Process) *time.Duration { return &p.Gateway.LeaveHold }),
+	short("drain_grace", func(p *Process) *time.Duration { return &p.Gateway.DrainGrace }),
 	long("drain_timeout", func(p *Process) *time.Duration { return &p.Gateway.DrainTimeout }),
 }
 
