Measure task work as time, throttle by processors, name throttled calls

Cause: package placement commands sizes and keeps progress as run time; a part between 0 and 1 cannot be computed there, since the real run time is not known. Ruled out: a share of full speed as the throttle; it says nothing about the room that throttling makes on the worker. Conclusion: placement's commands map one to one to store.Workers.

--- a/peer/platform/client.go
+++ b/peer/platform/client.go
@@ -3,7 +3,7 @@
 //
 // A call that certainly changed nothing fails with store.ErrUnavailable: the
 // connection was refused, no byte was written, the platform answered 400, 429
-// or 503, or the call only reads. A write that failed in any other way may
+// or 503, or the call only reads. For a 429 it is store.ErrThrottled. A write that failed in any other way may
 // have taken effect and fails with store.ErrUnknown.
 package platform
 
@@ -62,7 +62,9 @@
 			return fmt.Errorf("%w: conflict without keys", lost)
 		}
 		return &store.ConflictError{Keys: p.Keys}
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
+	case fasthttp.StatusTooManyRequests:
+		return store.ErrThrottled
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
 		return fmt.Errorf("%w: status %d: %s", store.ErrUnavailable, status, p.Error)
 	}
 	return fmt.Errorf("%w: status %d: %s", lost, status, p.Error)
--- a/peer/worker/client.go
+++ b/peer/worker/client.go
@@ -80,9 +80,9 @@
 	return c.act(ctx, wire.PathCheckpoint, wire.Hold{Hold: h}, h.Task, h.Token)
 }
 
-// Throttle sets the part of full speed, 0 to 1.
-func (c *Client) Throttle(ctx context.Context, h store.Hold, share float64) (store.Run, error) {
-	return c.act(ctx, wire.PathThrottle, wire.Hold{Hold: h, Share: share}, h.Task, h.Token)
+// Throttle gives the task this many processors.
+func (c *Client) Throttle(ctx context.Context, h store.Hold, milliCores int) (store.Run, error) {
+	return c.act(ctx, wire.PathThrottle, wire.Hold{Hold: h, MilliCores: milliCores}, h.Task, h.Token)
 }
 
 // Stop ends the run.
@@ -118,7 +118,9 @@
 	switch status {
 	case fasthttp.StatusNotFound:
 		return store.ErrNotFound
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
+	case fasthttp.StatusTooManyRequests:
+		return store.ErrThrottled
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
 		return fmt.Errorf("%w: status %d: %s", store.ErrUnavailable, status, p.Error)
 	case fasthttp.StatusConflict:
 		switch p.Code {
--- a/peer/worker/wire/wire.go
+++ b/peer/worker/wire/wire.go
@@ -40,7 +40,7 @@
 // Hold is the body of the calls on a started task.
 type Hold struct {
 	store.Hold
-	Share float64 // for throttle
+	MilliCores int // for throttle
 }
 
 // Problem is the body of an answer other than 200.
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobwharf/carobwharf/peer/platform/wire"
+	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -144,6 +145,7 @@
 	VMs     int      `json:"vms"`
 	Runs    int      `json:"runs"` // running and recently ended
 
+	Calls  ring.Stats `json:"calls"`
 	Counts Counts     `json:"counts"`
 	Tasks  TaskCounts `json:"tasks"`
 	Faults Faults     `json:"faults"`
@@ -158,6 +160,7 @@
 		Objects: slices.Sorted(maps.Keys(s.objects)),
 		VMs:     len(s.fleet.list(s.now())),
 		Runs:    len(s.tasks.runs),
+		Calls:   s.callStats(),
 		Counts:  s.counts,
 		Tasks:   s.tasks.counts,
 		Faults:  s.faults,
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -95,6 +95,7 @@
 	}
 	s.ln = ln
 	st := newState(s.cfg, &s.silentBefore)
+	st.callStats = s.calls.Stats
 	if s.cfg.Power != nil {
 		st.reboots = s.reboots
 		s.sup.Add(duty.Duty{Name: "reboots", Run: func(ctx context.Context) error { return runReboots(ctx, s.reboots, s.cfg.Power) }})
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -76,6 +76,8 @@
 	held    []call
 	counts  Counts
 	now     func() time.Time
+	// callStats returns the counters of the ring that the duty reads.
+	callStats func() ring.Stats
 	// silentBefore is the time in ns since the epoch up to which connections
 	// were opened that never answer again. Handlers read it.
 	silentBefore *atomic.Int64
@@ -103,7 +105,7 @@
 	for _, vm := range vms {
 		workers = append(workers, store.Worker{
 			ID: vm.ID, DataCentre: vm.DataCentre, Rack: vm.Rack,
-			Cores: vm.Cores, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators,
+			MilliCores: 1000 * vm.Cores, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators,
 		})
 	}
 	s.tasks.setWorkers(workers, now)
--- a/store/store.go
+++ b/store/store.go
@@ -18,6 +18,9 @@
 	ErrNotFound = errors.New("not found")
 	// ErrUnavailable: the platform did not take the call; nothing changed.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrThrottled is an ErrUnavailable: the caller exceeds the platform's
+	// rate and should slow down.
+	ErrThrottled = fmt.Errorf("%w: rate limit", ErrUnavailable)
 	// ErrUnknown: the call may have taken effect. The caller reads back.
 	ErrUnknown = errors.New("result unknown")
 )
--- a/store/workers.go
+++ b/store/workers.go
@@ -22,7 +22,7 @@
 	ID           string
 	DataCentre   string
 	Rack         string
-	Cores        int
+	MilliCores   int
 	MemoryMB     int
 	Accelerators int
 }
@@ -33,12 +33,12 @@
 	ID           string
 	Worker       string
 	Token        uint64 // fencing token; each placement of a task uses a higher one
-	Cores        int
+	MilliCores   int
 	MemoryMB     int
 	Accelerators int
 	Declared     time.Duration // run time as declared; the real one may differ widely
 	Lease        time.Duration // the task ends when it is not renewed
-	Progress     float64       // 0 to 1, from the checkpoint to resume from
+	Progress     time.Duration // work that the checkpoint to resume from holds
 }
 
 // RunState is the state of a run.
@@ -53,17 +53,19 @@
 	RunExpired RunState = "expired" // the lease was not renewed
 )
 
-// Run is one placement of a task as its worker reports it.
+// Run is one placement of a task as its worker reports it. Work is measured
+// as run time with all declared processors.
 type Run struct {
-	Task         string
-	Worker       string
-	Token        uint64
-	State        RunState
-	Progress     float64 // 0 to 1
-	Checkpoint   float64 // progress that a later run can resume from
-	Share        float64 // throttle: part of full speed, 0 to 1
-	UsedCores    float64 // real use, which may differ from the declaration
-	UsedMemoryMB float64
+	Task           string
+	Worker         string
+	Token          uint64
+	State          RunState
+	Ran            time.Duration // of this run
+	Progress       time.Duration // work done, with that of earlier runs
+	Checkpoint     time.Duration // work that a later run can resume from
+	MilliCores     int           // given to the task, less than declared when throttled
+	UsedMilliCores int           // real use, which may differ from the declaration
+	UsedMemoryMB   int
 }
 
 // Hold names a placement that the caller holds.
@@ -81,7 +83,9 @@
 	Start(ctx context.Context, t Task) (Run, error)
 	Renew(ctx context.Context, h Hold) (Run, error)
 	Checkpoint(ctx context.Context, h Hold) (Run, error)
-	Throttle(ctx context.Context, h Hold, share float64) (Run, error)
+	// Throttle gives the task this many processors, at most the declared
+	// ones; it returns ErrNoRoom if the worker has no more to give back.
+	Throttle(ctx context.Context, h Hold, milliCores int) (Run, error)
 	Stop(ctx context.Context, h Hold) (Run, error)
 	// Usage returns at most limit runs whose task sorts after the given one,
 	// in order of task and token, as they were some time ago. Ended runs
