Write a set's object again when its answer is lost

In a trial with a stand-in that loses 20% of the answers, 5 of 46 submissions were refused as "platform unavailable" because the answer to the write of the object was lost. The object's name is its hash, so the next round of the submission may write it again.

--- a/daemon/controller/publisher/attempt.go
+++ b/daemon/controller/publisher/attempt.go
@@ -181,7 +181,10 @@
 	if err != nil {
 		return Result{}, false, err
 	}
-	if err := a.putObject(ctx, rows.SetObject(hash), data); err != nil {
+	switch err := a.putObject(ctx, rows.SetObject(hash), data); {
+	case errors.Is(err, store.ErrUnknown):
+		return Result{}, false, nil // the object may be written again: its name is its hash
+	case err != nil:
 		return Result{}, false, err
 	}
 	delta, err := rows.InlineDelta(publication.Diff(previous, &plan.Set))
--- a/daemon/controller/publisher/publisher_test.go
+++ b/daemon/controller/publisher/publisher_test.go
@@ -127,6 +127,7 @@
 	for name, lose := range map[string]func(p *fakestore.Platform){
 		"answer": func(p *fakestore.Platform) { p.LoseAnswers.Store(1) },
 		"commit": func(p *fakestore.Platform) { p.LoseCommits.Store(1) },
+		"object": func(p *fakestore.Platform) { p.LosePuts.Store(2) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := fakestore.New(t.Context())
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -23,6 +23,9 @@
 	// LoseCommits is the number of the next commits that take no effect and
 	// return store.ErrUnknown.
 	LoseCommits atomic.Int64
+	// LosePuts is the number of the next object writes that take effect and
+	// still return store.ErrUnknown.
+	LosePuts atomic.Int64
 	// BeforeCommit, if set before the first call, runs before each commit, so
 	// that a test can let another writer win.
 	BeforeCommit func()
@@ -164,7 +167,13 @@
 
 // PutObject implements store.Objects.
 func (p *Platform) PutObject(ctx context.Context, name string, data []byte) error {
-	return p.do(ctx, func(s *state) { s.objects[name] = slices.Clone(data) })
+	if err := p.do(ctx, func(s *state) { s.objects[name] = slices.Clone(data) }); err != nil {
+		return err
+	}
+	if p.LosePuts.Add(-1) >= 0 {
+		return fmt.Errorf("put %s: %w", name, store.ErrUnknown)
+	}
+	return nil
 }
 
 // GetObject implements store.Objects.
