Print the configuration in force as an object set

After a rebase an operator's file lacks the changes of others.

A controller is ready without a configuration: operators submit the first one to a controller that has none, so a script that waits for readiness would wait forever.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -113,6 +113,10 @@
 		return out == "~ [team dealers]\n"
 	}, 10*time.Second, time.Millisecond)
 
+	out, _, code = with("config")
+	require.Equal(t, ExitOK, code)
+	require.True(t, strings.HasPrefix(out, "# generation 2\n[pool acquired]\n"), out)
+
 	_, errOut, code = with("submit", "--base", "2", edit("c.ini", "pool        = audit", "pool        = gone"))
 	require.Equal(t, ExitFailure, code)
 	require.Contains(t, errOut, `c.ini:108: [service audit-bundle] pool: pool "gone" does not exist`)
--- a/cli/root.go
+++ b/cli/root.go
@@ -22,7 +22,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
-	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd())
+	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd(), newConfigCmd())
 	root.AddCommand(newControllerCmd(), newGatewayCmd())
 	root.AddCommand(newStandinCmd(), newLoadCmd(), newDemoCmd())
 	root.AddCommand(newVersionCmd())
--- a/cli/submit.go
+++ b/cli/submit.go
@@ -27,7 +27,9 @@
 		Long: `Submits an object set as a whole. --base is the generation that the file was
 made from (see carobwharf status). If others have changed different objects
 since then, both changes are published; if they have changed the same objects,
-nothing is published, the objects are named and the exit code is 3.
+nothing is published, the objects are named and the exit code is 3. A file does
+not contain the changes of others: to go on from the new generation, fetch its
+set with carobwharf config.
 
 If the result of a call is lost, the call is repeated with the same submission
 id, which publishes at most once. --id continues an earlier submission.`,
@@ -109,7 +111,7 @@
 	case r.Repeated:
 		note = ", by an earlier call of the same submission"
 	case r.Rebased:
-		note = ", together with changes of later generations than the base"
+		note = ", together with changes of later generations than the base; fetch the set with carobwharf config before the next change"
 	}
 	_, err := fmt.Fprintf(cmd.OutOrStdout(), "generation %d%s\n", r.Generation, note)
 	return err
--- a/daemon/controller/process.go
+++ b/daemon/controller/process.go
@@ -15,15 +15,13 @@
 // Healthy returns nil: a failed duty ends the process.
 func (p process) Healthy() error { return nil }
 
-// Ready returns an error before the duties run, after a stop began, and
-// without a configuration in force.
+// Ready returns an error before the duties run and after a stop began. A
+// configuration is not needed: operators submit the first one to a controller
+// that has none.
 func (p process) Ready() error {
 	if !p.c.running.Load() {
 		return errors.New("the process is starting or stopping")
 	}
-	if p.c.config.Current() == nil {
-		return errors.New("no configuration is in force")
-	}
 	return nil
 }
 
