--- a/daemon/controller/poolkeeper/sim_test.go
+++ b/daemon/controller/poolkeeper/sim_test.go
@@ -7,10 +7,12 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/buffer"
 	"github.com/carobwharf/carobwharf/internal/storetest"
+	"github.com/carobwharf/carobwharf/lease"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/vmview"
 	"github.com/carobwharf/carobwharf/store"
@@ -32,6 +34,11 @@
 	onReboot func(vm string)
 	replies  map[uint64]Result
 	broken   []string // invariants that did not hold
+	demand   []structs.ServiceDemand
+	overlap  bool // every node believes to hold all leases, all the time
+	moves    int  // VMs that changed their pool
+	history  []porcupine.Operation
+	pools    map[string]string // VM: pool, as last written
 }
 
 type timer struct {
@@ -74,7 +81,7 @@
 func newSim(seed uint64, controllers, gateways int, set structs.ObjectSet) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC),
-		f: storetest.New(seed), set: set, reboot: 20 * time.Second, replies: map[uint64]Result{},
+		f: storetest.New(seed), set: set, reboot: 20 * time.Second, replies: map[uint64]Result{}, pools: map[string]string{},
 	}
 	s.f.OnCommit(s.check)
 	for i := range gateways {
@@ -101,6 +108,7 @@
 	cfg := testConfig(id)
 	cfg.LeaseDuration, cfg.Reconcile, cfg.RowLifetime = 10*time.Second, time.Second, 30*time.Second
 	cfg.DrainTimeout, cfg.RebootTimeout, cfg.PauseFor = 20*time.Second, 2*time.Minute, 10*time.Minute
+	cfg.DemandPoll = 2 * time.Second
 	cfg.Buffer = buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: time.Minute, Group: 5 * time.Second, MaxMoves: 8}
 	n := &node{id: id, m: NewMachine(cfg)}
 	n.d = &Duty{opts: Options{Timeout: time.Minute, Platform: simPlatform{s.f, s}, Gateways: s, Log: hclog.NewNullLogger(), Metrics: metrics.New()}}
@@ -173,6 +181,9 @@
 
 func (s *sim) step(n *node, e Event) {
 	s.whenAwake(n, func() {
+		if s.overlap {
+			s.holdAll(n)
+		}
 		for _, a := range n.m.Step(s.now, e) {
 			if r, ok := a.(Reply); ok {
 				s.replies[r.ID] = r.Result
@@ -198,9 +209,16 @@
 		e.Sent = begun
 		result = e
 	}
+	s.record(result, begun)
 	s.deliver(n, result)
 }
 
+func (s *sim) holdAll(n *node) {
+	for _, p := range s.set.Pools {
+		n.m.lease(p.Name).held = lease.Acquired(lease.Record{Duration: time.Hour}, s.now)
+	}
+}
+
 // simPlatform reboots VMs in virtual time.
 type simPlatform struct {
 	*storetest.Fake
@@ -243,6 +261,9 @@
 	return 0, context.DeadlineExceeded
 }
 
+// Demand implements Gateways.
+func (s *sim) Demand(context.Context, string) ([]structs.ServiceDemand, error) { return s.demand, nil }
+
 func (s *sim) writeRow(g *gateway) {
 	if !g.dead {
 		put := store.Op{Kind: store.OpPut, Key: store.KeyMember(g.member.ID), Value: encode(g.member)}
