--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -34,7 +34,7 @@
 
 // deployment is a set of processes with the demonstration's objects.
 type deployment struct {
-	t                   *testing.T
+	t                   testing.TB
 	dir                 string
 	platform, endpoints *child
 	controllers         []*child
@@ -43,14 +43,17 @@
 	started             int
 }
 
-func newDeployment(t *testing.T, controllers, gateways int) *deployment {
+// newDeployment starts stand-ins and processes. Further arguments go to the
+// endpoint stand-in.
+func newDeployment(t testing.TB, controllers, gateways int, endpointArgs ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t)}
 	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
-	d.endpoints = start(t, "endpoints", standinReady, "standin", "endpoint", "--control", "127.0.0.1:0",
+	args := []string{"standin", "endpoint", "--control", "127.0.0.1:0",
 		"--count", strconv.Itoa(vmCount), "--port", "0", "--mean", "20ms", "--sigma", "0.5",
 		"--service", "catalogue=legacy:chunked", "--service", "registry=legacy:close",
-		"--register", d.platform.addrs["listen"])
+		"--register", d.platform.addrs["listen"]}
+	d.endpoints = start(t, "endpoints", standinReady, append(args, endpointArgs...)...)
 	for range controllers {
 		d.controllers = append(d.controllers, d.startController())
 	}
@@ -126,7 +129,7 @@
 
 // waitAdopted waits until every VM belongs to a pool.
 func (d *deployment) waitAdopted() {
-	client := platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
+	client := d.platformClient()
 	defer client.Close()
 	require.Eventually(d.t, func() bool {
 		rows, err := store.ScanAll(context.Background(), client, store.PrefixVM)
@@ -134,6 +137,10 @@
 	}, 30*time.Second, 100*time.Millisecond)
 }
 
+func (d *deployment) platformClient() *platform.Client {
+	return platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
+}
+
 // platformFaults changes fault switches of the platform stand-in.
 func (d *deployment) platformFaults(faults string) {
 	resp, err := http.Post("http://"+d.platform.addrs["listen"]+"/faults", "application/json", strings.NewReader(faults))
@@ -198,7 +205,7 @@
 // balancer sends each call to the next gateway that reports to be ready, as
 // the platform's load balancer does.
 type balancer struct {
-	t        *testing.T
+	t        testing.TB
 	gateways chan []*target // the current list; taken and put back to change it
 	ready    atomic.Pointer[[]*target]
 	next     atomic.Uint64
@@ -213,7 +220,7 @@
 // the gateways' drain grace.
 const checkInterval = 50 * time.Millisecond
 
-func newBalancer(t *testing.T) *balancer {
+func newBalancer(t testing.TB) *balancer {
 	b := &balancer{t: t, gateways: make(chan []*target, 1)}
 	b.gateways <- nil
 	b.ready.Store(&[]*target{})
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -40,7 +40,7 @@
 
 // child is a running process of the deployment.
 type child struct {
-	t     *testing.T
+	t     testing.TB
 	name  string
 	cmd   *exec.Cmd
 	ended chan error
@@ -49,7 +49,7 @@
 
 // start runs the binary and waits until ready reads the addresses from a line
 // of its output.
-func start(t *testing.T, name string, ready func(line string) map[string]string, args ...string) *child {
+func start(t testing.TB, name string, ready func(line string) map[string]string, args ...string) *child {
 	t.Helper()
 	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1)}
 	out, in := io.Pipe()
