--- /dev/null
+++ b/daemon/process/controller.go
@@ -0,0 +1,93 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/carobwharf/carobwharf/buffer"
+	"github.com/carobwharf/carobwharf/daemon/controller"
+	"github.com/carobwharf/carobwharf/daemon/controller/poolkeeper"
+	"github.com/carobwharf/carobwharf/duty"
+	peercontroller "github.com/carobwharf/carobwharf/peer/controller"
+	peergateway "github.com/carobwharf/carobwharf/peer/gateway"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+const (
+	keeperWorkers = 16
+	rebootTimeout = 5 * time.Minute // of a reboot ordered by an operator
+	// A failure of a rack shows within this time, so that a wave does not go
+	// on while the rest of the rack is failing.
+	pauseFor   = 30 * time.Second
+	adoptBatch = 32
+)
+
+// Controller is a controller process.
+type Controller struct {
+	base  *base
+	inner *controller.Controller
+}
+
+// NewController builds a controller process and opens its listeners.
+func NewController(o Options) (*Controller, error) {
+	in := newViews("poolkeeper")
+	b, err := newBase(o, in)
+	if err != nil {
+		return nil, err
+	}
+	keeper, err := newKeeper(b, in)
+	if err != nil {
+		return nil, fmt.Errorf("pool keeper duty: %w", err)
+	}
+	peers := peercontroller.NewClient(b.dialer)
+	inner, err := controller.New(controller.Options{
+		Settings: b.set, Platform: b.platform, Log: o.Log, Metrics: o.Metrics, Version: o.Version,
+		Peers: b.transfer, Subscribers: b.subscribed.configs,
+		Fleet: b.seen.fleet.Load, Members: b.seen.members.Load,
+		Drainer: drainer{keeper: keeper, peers: peers, seen: b.seen},
+	})
+	if err != nil {
+		return nil, err
+	}
+	handler := controlHandler{keeper: keeper, id: b.set.ID, current: inner.Config().Current}
+	if err := peercontroller.Register(b.server, handler); err != nil {
+		return nil, fmt.Errorf("register the controller service: %w", err)
+	}
+	if err := b.addShared(structs.RoleController, inner.AdminAddr(), inner.Config(), inner.Add); err != nil {
+		return nil, err
+	}
+	inner.Add(duty.Duty{Name: "poolkeeper", Run: keeper.Run, Dump: keeper.Dump})
+	return &Controller{base: b, inner: inner}, nil
+}
+
+func newKeeper(b *base, in views) (*poolkeeper.Duty, error) {
+	set := b.set
+	return poolkeeper.New(poolkeeper.Options{
+		Config: poolkeeper.Config{
+			ID: set.ID, LeaseDuration: set.Controller.LeaseDuration, Reconcile: set.Controller.Reconcile,
+			RowLifetime: set.Membership.RowLifetime, DrainTimeout: set.Controller.DrainTimeout,
+			RebootTimeout: rebootTimeout, PauseFor: pauseFor, AdoptBatch: adoptBatch, Buffer: buffer.Config{},
+		},
+		Timeout: fleetTimeoutCalls * set.Platform.Timeout, Workers: keeperWorkers,
+		Platform: b.platform, Gateways: peergateway.NewClient(b.dialer),
+		Fleet: in.fleets, Members: in.members, Configs: in.configs,
+		Log: b.part("poolkeeper"), Metrics: b.opts.Metrics,
+	})
+}
+
+// OperatorAddr returns the IP:port of the operators' API.
+func (c *Controller) OperatorAddr() string { return c.inner.OperatorAddr() }
+
+// AdminAddr returns the IP:port of health, metrics and dump.
+func (c *Controller) AdminAddr() string { return c.inner.AdminAddr() }
+
+// PeerAddr returns the IP:port for the project's own processes.
+func (c *Controller) PeerAddr() string { return c.base.server.Addr() }
+
+// Run runs all duties until ctx ends or a duty fails. Work in progress goes on
+// under the next holder of the leases.
+func (c *Controller) Run(ctx context.Context) error {
+	return errors.Join(c.inner.Run(ctx), c.base.close())
+}
--- /dev/null
+++ b/peer/platform/client.go
@@ -0,0 +1,89 @@
+// Package platform is the adapter to the platform over the HTTP form of
+// package wire. It implements store.Platform.
+//
+// A call that certainly changed nothing fails with store.ErrUnavailable: the
+// connection was refused, no byte was written, the platform answered 400, 429
+// or 503, or the call only reads. A write that failed in any other way may
+// have taken effect and fails with store.ErrUnknown.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/peer/internal/jsoncall"
+	"github.com/carobwharf/carobwharf/peer/platform/wire"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Options configures New. Zero fields get defaults.
+type Options struct {
+	Addr           string        // IP:port of the platform
+	Timeout        time.Duration // of one call, 2 s; an earlier deadline of the context wins
+	MaxConnections int           // 32; calls beyond it wait for a connection
+	MaxConnAge     time.Duration // 1 min; older connections are replaced
+	MaxIdle        time.Duration // 20 s; must be below the platform's own bound
+	MaxBody        int           // bytes of an answer, 64 MiB
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	calls *jsoncall.Client
+}
+
+var _ store.Platform = (*Client)(nil)
+
+// New returns a client; it opens connections when they are needed.
+func New(o Options) *Client { return &Client{calls: jsoncall.New(jsoncall.Options(o))} }
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.calls.Close() }
+
+func (c *Client) do(ctx context.Context, k *jsoncall.Call) error {
+	k.Refusal = refusal
+	return c.calls.Do(ctx, k)
+}
+
+// refusal translates an answer other than 200. The status decides; a body
+// that does not parse only loses the text.
+func refusal(status int, body []byte, lost error) error {
+	var p wire.Problem
+	bad := json.Unmarshal(body, &p)
+	switch status {
+	case fasthttp.StatusNotFound:
+		return store.ErrNotFound
+	case fasthttp.StatusConflict:
+		if bad != nil || len(p.Keys) == 0 {
+			return fmt.Errorf("%w: conflict without keys", lost)
+		}
+		return &store.ConflictError{Keys: p.Keys}
+	case fasthttp.StatusTooManyRequests:
+		return fmt.Errorf("%w: %s", store.ErrThrottled, p.Error)
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
+		return fmt.Errorf("%w: status %d: %s", store.ErrUnavailable, status, p.Error)
+	}
+	return fmt.Errorf("%w: status %d: %s", lost, status, p.Error)
+}
+
+// ListVMs returns the platform's VM list, which lags.
+func (c *Client) ListVMs(ctx context.Context) ([]structs.VM, error) {
+	var vms []structs.VM
+	err := c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodGet, Path: wire.PathVMs,
+		Decode: func(body []byte) error { return json.Unmarshal(body, &vms) },
+	})
+	return vms, err
+}
+
+// RebootVM starts a reboot.
+func (c *Client) RebootVM(ctx context.Context, id string) error {
+	return c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodPost, Path: wire.PathReboot, Writes: true,
+		Args: [3][2]string{{"id", id}},
+	})
+}
