--- a/daemon/controller/poolkeeper/calls.go
+++ b/daemon/controller/poolkeeper/calls.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
 
+	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -67,7 +67,11 @@
 // the change took effect if each of them has the value that was written.
 func (d *Duty) commit(ctx context.Context, c Change) Committed {
 	result := Committed{Change: c, Sent: time.Now()}
-	ops := c.ops()
+	ops, err := c.ops()
+	if err != nil {
+		result.Err = err
+		return result
+	}
 	result.Versions, result.Err = d.opts.Platform.Commit(ctx, ops)
 	if errors.Is(result.Err, store.ErrUnknown) {
 		result.Versions, result.Err = d.readBack(ctx, ops)
@@ -102,8 +106,8 @@
 	if err != nil {
 		return fmt.Errorf("reboot of %s: %w", r.VM, err)
 	}
-	var o structs.Owner
-	if err := json.Unmarshal(row.Value, &o); err != nil {
+	o, err := rows.DecodeOwner(row.Value, row.Version)
+	if err != nil {
 		return fmt.Errorf("reboot of %s: %w", r.VM, err)
 	}
 	if o.Epoch != r.Epoch || o.State != structs.OwnerRebooting {
--- a/daemon/controller/poolkeeper/leases.go
+++ b/daemon/controller/poolkeeper/leases.go
@@ -1,6 +1,8 @@
 package poolkeeper
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/lease"
@@ -26,7 +28,7 @@
 		return
 	}
 	l := m.lease(pool)
-	preferred := lease.Preferred(pool, m.controllers)
+	preferred := lease.Preferred(pool, slices.Collect(maps.Keys(m.controllers)))
 	l.notePreferred(now, preferred != "" && preferred != m.cfg.ID)
 	r := l.row.Record
 	switch {
@@ -35,7 +37,7 @@
 			l.held = lease.Held{} // not used from here on, whatever becomes of the write
 			m.writeLease(l, lease.Record{Token: r.Token, Duration: m.cfg.LeaseDuration}, "lease given up")
 		} else if l.held.RenewDue(now) {
-			m.writeLease(l, lease.Record{Holder: m.cfg.ID, Token: r.Token, Duration: m.cfg.LeaseDuration}, "lease renewed")
+			m.writeLease(l, r.Renewed(m.cfg.LeaseDuration), "lease renewed")
 		}
 	case m.claimable(l, preferred):
 		m.writeLease(l, lease.Next(r, m.cfg.ID, m.cfg.LeaseDuration), "lease taken")
--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -6,6 +6,7 @@
 
 	"github.com/carobwharf/carobwharf/buffer"
 	"github.com/carobwharf/carobwharf/lease"
+	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
@@ -51,7 +52,7 @@
 	cfg         Config
 	set         *structs.ObjectSet
 	generation  uint64
-	controllers []string
+	controllers map[string]structs.Member // live in the member view
 	gateways    map[string]structs.Member // live in the member view
 
 	listed   map[string]structs.VM // live in the VM list
@@ -84,10 +85,24 @@
 	out []Action
 }
 
+// ConfigFrom returns the configuration that the settings of a process give.
+// What is not a setting has the values below.
+func ConfigFrom(p settings.Process) Config {
+	c := p.Controller
+	return Config{
+		ID: p.ID, LeaseDuration: c.LeaseDuration, Reconcile: c.Reconcile, RowLifetime: p.Membership.RowLifetime,
+		DrainTimeout: c.DrainTimeout, RebootTimeout: 5 * time.Minute, PauseFor: 10 * time.Minute,
+		DemandPoll: 5 * time.Second, AdoptBatch: 200,
+		// A surplus is returned late: a peak that comes back soon would
+		// otherwise cost two moves for each VM.
+		Buffer: buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: 10 * time.Minute, Group: 5 * time.Second, MaxMoves: 16},
+	}
+}
+
 // NewMachine returns a machine that knows nothing.
 func NewMachine(cfg Config) *Machine {
 	return &Machine{
-		cfg: cfg, gateways: map[string]structs.Member{},
+		cfg: cfg, controllers: map[string]structs.Member{}, gateways: map[string]structs.Member{},
 		listed: map[string]structs.VM{}, known: map[string]structs.VM{},
 		owners: map[string]ownerState{}, absences: map[string]AbsenceRow{}, leases: map[string]*leaseState{},
 		members: map[string]*memberState{}, plans: map[string]PlanRow{},
--- a/daemon/controller/poolkeeper/merge.go
+++ b/daemon/controller/poolkeeper/merge.go
@@ -24,12 +24,12 @@
 }
 
 func (m *Machine) seeMembers(v *structs.MemberView) {
-	m.controllers = m.controllers[:0]
+	clear(m.controllers)
 	clear(m.gateways)
 	for _, p := range v.Live {
 		switch p.Role {
 		case structs.RoleController:
-			m.controllers = append(m.controllers, p.ID)
+			m.controllers[p.ID] = p
 		case structs.RoleGateway:
 			m.gateways[p.ID] = p
 		}
--- a/daemon/controller/poolkeeper/rows.go
+++ b/daemon/controller/poolkeeper/rows.go
@@ -5,71 +5,65 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/carobwharf/carobwharf/lease"
 	"github.com/carobwharf/carobwharf/rollout"
+	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
-	"github.com/carobwharf/carobwharf/structs"
 )
 
-// Values of rows: JSON with the field names as keys, without versions.
-type (
-	absenceValue struct{ Absent []structs.Absence }
-	leaseValue   struct {
-		Holder   string
-		Token    uint64
-		Duration time.Duration
-	}
-)
+// opList collects the operations of a transaction and the first error.
+type opList struct {
+	ops []store.Op
+	err error
+}
 
-func encode(v any) []byte {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("poolkeeper: encode %T: %v", v, err)) // plain structs always encode
+func (l *opList) add(key string, version uint64, value []byte, err error) {
+	if err != nil && l.err == nil {
+		l.err = fmt.Errorf("row %s: %w", key, err)
 	}
-	return b
+	kind := store.OpUpdate
+	if version == 0 {
+		kind = store.OpInsert
+	}
+	l.ops = append(l.ops, store.Op{Kind: kind, Key: key, Expect: version, Value: value})
 }
 
 // ops returns the operations of the change's transaction.
-func (c Change) ops() []store.Op {
-	var out []store.Op
-	add := func(key string, version uint64, v any) {
-		kind := store.OpUpdate
-		if version == 0 {
-			kind = store.OpInsert
-		}
-		out = append(out, store.Op{Kind: kind, Key: key, Expect: version, Value: encode(v)})
-	}
+func (c Change) ops() ([]store.Op, error) {
+	var l opList
 	for _, o := range c.Owners {
-		add(store.KeyVM(o.VM), o.Version, o)
+		value, err := rows.EncodeOwner(o)
+		l.add(store.KeyVM(o.VM), o.Version, value, err)
 	}
 	if r := c.Absence; r != nil {
-		add(store.KeyAbsence(r.Pool), r.Version, absenceValue{r.Absences})
+		value, err := rows.EncodeAbsences(rows.Absences{Absent: r.Absences})
+		l.add(store.KeyAbsence(r.Pool), r.Version, value, err)
 	}
 	if r := c.Lease; r != nil {
-		add(store.KeyLease(r.Pool), r.Version, leaseValue{r.Record.Holder, r.Record.Token, r.Record.Duration})
+		value, err := rows.EncodeLease(rows.Lease(r.Record))
+		l.add(store.KeyLease(r.Pool), r.Version, value, err)
 	}
 	if r := c.Plan; r != nil {
-		add(store.KeyPlan(r.Progress.Plan), r.Version, r.Progress)
+		value, err := json.Marshal(r.Progress)
+		l.add(store.KeyPlan(r.Progress.Plan), r.Version, value, err)
 	}
-	return out
+	return l.ops, l.err
 }
 
 // readRows reads what the machine decides on. The ownership rows come after
-// the absence rows; see the package comment.
-func readRows(ctx context.Context, t store.Table) (Rows, []error, error) {
-	var rows Rows
-	var bad []error
+// the absence rows; see the package comment. Rows that cannot be decoded are
+// left out and reported in bad.
+func readRows(ctx context.Context, t store.Table) (out Rows, bad []error, err error) {
 	for _, part := range []struct {
 		prefix string
 		decode func(store.Row) error
 	}{
-		{store.PrefixLease, rows.addLease},
-		{store.PrefixMember, rows.addMember},
-		{store.PrefixPlan, rows.addPlan},
-		{store.PrefixPool, rows.addAbsence},
-		{store.PrefixVM, rows.addOwner},
+		{store.PrefixLease, out.addLease},
+		{store.PrefixMember, out.addMember},
+		{store.PrefixPlan, out.addPlan},
+		{store.PrefixPool, out.addAbsence},
+		{store.PrefixVM, out.addOwner},
 	} {
 		found, err := store.ScanAll(ctx, t, part.prefix)
 		if err != nil {
@@ -81,24 +75,22 @@
 			}
 		}
 	}
-	return rows, bad, nil
+	return out, bad, nil
 }
 
 func (r *Rows) addLease(row store.Row) error {
-	var v leaseValue
-	if err := json.Unmarshal(row.Value, &v); err != nil {
+	v, err := rows.DecodeLease(row.Value)
+	if err != nil {
 		return err
 	}
-	r.Leases = append(r.Leases, LeaseRow{
-		Pool: strings.TrimPrefix(row.Key, store.PrefixLease), Version: row.Version,
-		Record: lease.Record{Holder: v.Holder, Token: v.Token, Duration: v.Duration},
-	})
+	pool := strings.TrimPrefix(row.Key, store.PrefixLease)
+	r.Leases = append(r.Leases, LeaseRow{Pool: pool, Version: row.Version, Record: lease.Record(v)})
 	return nil
 }
 
 func (r *Rows) addMember(row store.Row) error {
-	var v structs.Member
-	if err := json.Unmarshal(row.Value, &v); err != nil {
+	v, err := rows.DecodeMember(row.Value)
+	if err != nil {
 		return err
 	}
 	r.Members = append(r.Members, MemberRow{Version: row.Version, Member: v})
@@ -119,8 +111,8 @@
 	if !ok {
 		return nil // another kind of row of the pool
 	}
-	var v absenceValue
-	if err := json.Unmarshal(row.Value, &v); err != nil {
+	v, err := rows.DecodeAbsences(row.Value)
+	if err != nil {
 		return err
 	}
 	r.Absences = append(r.Absences, AbsenceRow{Pool: pool, Version: row.Version, Absences: v.Absent})
@@ -128,11 +120,10 @@
 }
 
 func (r *Rows) addOwner(row store.Row) error {
-	var v structs.Owner
-	if err := json.Unmarshal(row.Value, &v); err != nil {
+	v, err := rows.DecodeOwner(row.Value, row.Version)
+	if err != nil {
 		return err
 	}
-	v.Version = row.Version
 	r.Owners = append(r.Owners, v)
 	return nil
 }
--- a/internal/storetest/fake.go
+++ b/internal/storetest/fake.go
@@ -19,6 +19,7 @@
 	LostBefore  float64       // Commit returns ErrUnknown without effect
 	LostAfter   float64       // Commit returns ErrUnknown after taking effect
 	Unavailable float64       // ErrUnavailable
+	Conflict    float64       // Commit returns a ConflictError for its first key, without effect
 	Delay       time.Duration // greatest delay before a call takes effect
 	Outage      bool          // every call returns ErrUnavailable
 }
--- a/internal/storetest/platform.go
+++ b/internal/storetest/platform.go
@@ -44,6 +44,10 @@
 			err = store.ErrUnknown
 			return
 		}
+		if len(ops) > 0 && s.rng.Float64() < s.faults.Conflict {
+			err = &store.ConflictError{Keys: []string{ops[0].Key}}
+			return
+		}
 		versions, err = s.commit(ops)
 		if s.rng.Float64() < s.faults.LostAfter {
 			versions, err = nil, store.ErrUnknown
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,9 +15,17 @@
 type Record struct {
 	Holder   string // empty: released
 	Token    uint64 // fencing token; grows with each change of the holder
+	Renewal  uint64 // grows with each renewal, so that no two writes are alike
 	Duration time.Duration
 }
 
+// Renewed returns the record with which the holder renews its lease for d.
+func (r Record) Renewed(d time.Duration) Record {
+	r.Renewal++
+	r.Duration = d
+	return r
+}
+
 // Held is the holder's own knowledge of its lease. The zero value is not
 // valid.
 type Held struct {
--- a/membership/view.go
+++ b/membership/view.go
@@ -91,7 +91,8 @@
 		}
 	}
 	v.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	slices.SortStableFunc(rest, func(a, b *peer) int { return min(a.sent, v.retransmit()) - min(b.sent, v.retransmit()) })
+	limit := v.retransmit()
+	slices.SortStableFunc(rest, func(a, b *peer) int { return min(a.sent, limit) - min(b.sent, limit) })
 	for _, p := range rest {
 		if len(m.Updates) >= v.cfg.MaxUpdates {
 			break
--- a/node/vmview/vmview.go
+++ b/node/vmview/vmview.go
@@ -14,6 +14,7 @@
 
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -86,15 +87,15 @@
 // decoded are left out and reported in bad, so that one of them does not hide
 // the rest of the fleet.
 func ReadOnce(ctx context.Context, t store.Table, v store.VMs) (view *structs.FleetView, bad []error, err error) {
-	rows, err := store.ScanAll(ctx, t, store.PrefixVM)
+	found, err := store.ScanAll(ctx, t, store.PrefixVM)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read ownership rows: %w", err)
 	}
-	view = &structs.FleetView{Owners: make([]structs.Owner, 0, len(rows))}
-	for _, r := range rows {
-		o, err := decodeOwner(r)
+	view = &structs.FleetView{Owners: make([]structs.Owner, 0, len(found))}
+	for _, r := range found {
+		o, err := rows.DecodeOwner(r.Value, r.Version)
 		if err != nil {
-			bad = append(bad, err)
+			bad = append(bad, fmt.Errorf("row %s: %w", r.Key, err))
 			continue
 		}
 		view.Owners = append(view.Owners, o)
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -101,17 +101,17 @@
 		return Decision{Hold: HoldFinished}
 	}
 	var d Decision
-	for _, vm := range left {
+	for _, c := range left {
 		if in.Plan.Width > 0 && out+len(d.Stop) >= in.Plan.Width {
 			d.Hold = HoldWidth
 			return d
 		}
-		if in.Ledger.Permit(vm.ID) != nil {
+		if in.Ledger.Permit(c.vm) != nil {
 			d.Hold = HoldBudget
 			continue
 		}
-		in.Ledger.Take(vm.ID)
-		d.Stop = append(d.Stop, vm.ID)
+		in.Ledger.Take(c.vm)
+		d.Stop = append(d.Stop, c.vm)
 	}
 	return d
 }
@@ -145,10 +145,10 @@
 // progress come first, then larger ones: under a survive rule, the absence of
 // a VM of the largest domain leaves the remainder as it is, so more VMs can be
 // out at once.
-func (in *Input) candidates() []structs.VM {
+func (in *Input) candidates() []candidate {
 	begun := map[string]bool{}
 	size := map[string]int{}
-	var left []structs.VM
+	var left []candidate
 	for _, vm := range in.Ready {
 		d, _ := budget.DomainOf(vm, in.Plan.Order)
 		size[d]++
@@ -156,21 +156,21 @@
 			begun[d] = true
 			continue
 		}
-		left = append(left, vm)
+		left = append(left, candidate{vm: vm.ID, domain: d})
 	}
-	slices.SortFunc(left, func(a, b structs.VM) int {
-		da, _ := budget.DomainOf(a, in.Plan.Order)
-		db, _ := budget.DomainOf(b, in.Plan.Order)
+	slices.SortFunc(left, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(rank(begun[da]), rank(begun[db])),
-			cmp.Compare(size[db], size[da]),
-			cmp.Compare(da, db),
-			cmp.Compare(a.ID, b.ID),
+			cmp.Compare(rank(begun[a.domain]), rank(begun[b.domain])),
+			cmp.Compare(size[b.domain], size[a.domain]),
+			cmp.Compare(a.domain, b.domain),
+			cmp.Compare(a.vm, b.vm),
 		)
 	})
 	return left
 }
 
+type candidate struct{ vm, domain string }
+
 func rank(first bool) int {
 	if first {
 		return 0
