Let silent connections end with their caller

Cause: a silent or frozen endpoint kept a connection for up to a minute after its caller had gone, and the HTTP server answered 503 beyond 64, so that new connections did not work and a frozen endpoint gave answers. Ruled out: polling the connection; the handler reads from it until the caller closes it, and the end of the server closes it. Conclusion: the limit of connections is kept by the state duty, which answers 429 on surplus connections, also in the request's own name.

--- a/peer/endpoint/wire/wire_test.go
+++ b/peer/endpoint/wire/wire_test.go
@@ -23,6 +23,7 @@
 	})
 }
 
+// An error that is read as success delivers a failure as an answer.
 func TestParseError(t *testing.T) {
 	for value, want := range map[string]int{FormatError(503, "leaving"): 503, "429": 429, "": 500, "no money": 500, "200 ok": 500, "9999 x": 500} {
 		require.Equal(t, want, ParseError(value), value)
--- a/peer/worker/client.go
+++ b/peer/worker/client.go
@@ -119,7 +119,7 @@
 	case fasthttp.StatusNotFound:
 		return store.ErrNotFound
 	case fasthttp.StatusTooManyRequests:
-		return store.ErrThrottled
+		return fmt.Errorf("%w: %s", store.ErrThrottled, p.Error)
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusBadRequest:
 		return fmt.Errorf("%w: status %d: %s", store.ErrUnavailable, status, p.Error)
 	case fasthttp.StatusConflict:
--- a/peer/worker/client_test.go
+++ b/peer/worker/client_test.go
@@ -55,6 +55,8 @@
 	require.Equal(t, int64(1), s.State().Tasks.Overlaps)
 }
 
+// Each refusal must be told apart: the scheduler tries another worker, waits,
+// or gives up for good.
 func TestRoomAndRefusals(t *testing.T) {
 	s, c := start(t)
 	ctx := context.Background()
--- a/standin/endpoint/server.go
+++ b/standin/endpoint/server.go
@@ -21,10 +21,13 @@
 )
 
 const (
-	eventRing   = 8192
-	maxBody     = 64 << 20 // bytes of a request
-	controlWait = 5 * time.Second
-	stopWorkers = 32 // HTTP servers that stop at the same time; each takes 100 ms
+	eventRing = 8192
+	maxBody   = 64 << 20 // bytes of a request
+	// Connections of one endpoint whatever its limit. Far above the limit, so
+	// that a frozen endpoint answers none of them.
+	maxConnections = 16384
+	controlWait    = 5 * time.Second
+	stopWorkers    = 32 // HTTP servers that stop at the same time; each takes 100 ms
 )
 
 // Server is a running stand-in.
@@ -35,18 +38,19 @@
 	hosts    []*host
 	servers  []*fasthttp.Server // of the hosts, then of the control address
 	control  net.Listener
-	verdicts sync.Pool // of chan verdict
-	stopping chan struct{}
+	verdicts sync.Pool       // of chan verdict
+	life     context.Context // ends when the server stops
+	end      context.CancelFunc
 }
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
 	s := &Server{
-		cfg:      cfg,
-		events:   ring.New[event]("standin-endpoint-events", eventRing, ring.Wait),
-		sup:      duty.NewSupervisor(),
-		stopping: make(chan struct{}),
+		cfg:    cfg,
+		events: ring.New[event]("standin-endpoint-events", eventRing, ring.Wait),
+		sup:    duty.NewSupervisor(),
 	}
+	s.life, s.end = context.WithCancel(context.Background())
 	s.cfg.VMs = slices.Clone(cfg.VMs)
 	s.verdicts.New = func() any { return make(chan verdict, 1) }
 	return s
@@ -89,7 +93,7 @@
 			vm:     s.cfg.VMs[i],
 			ln:     ln,
 			accept: make(chan net.Listener, 2),
-			conns:  make(map[net.Conn]struct{}),
+			conns:  make(map[net.Conn]connState),
 		})
 	}
 	return nil
@@ -127,7 +131,7 @@
 func (s *Server) newHTTP(h *host) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:               func(ctx *fasthttp.RequestCtx) { s.handle(ctx, h) },
-		Concurrency:           h.vm.Connections, // further connections get a 503 and are closed
+		Concurrency:           maxConnections, // the limit of the VM is kept by the state duty
 		MaxRequestBodySize:    maxBody,
 		IdleTimeout:           time.Minute,
 		NoDefaultServerHeader: true,
@@ -161,7 +165,7 @@
 
 // Stop closes all listeners and connections.
 func (s *Server) Stop(ctx context.Context) error {
-	close(s.stopping)
+	s.end()
 	pool := pond.NewPool(stopWorkers)
 	for _, server := range s.servers {
 		pool.Submit(func() { _ = server.ShutdownWithContext(ctx) }) // connections left open at the deadline end with the process
--- a/standin/endpoint/state.go
+++ b/standin/endpoint/state.go
@@ -55,18 +55,23 @@
 	silence int64     // ns since the epoch; connections opened until then are silent
 	busy    int       // slots in use
 	held    []begin
-	conns   map[net.Conn]struct{}
+	conns   map[net.Conn]connState
 	ln      net.Listener // nil while connections are refused
 	accept  chan net.Listener
 	lastID  string
 	totals  Totals
 }
 
+// connState is what is known of an open connection.
+type connState struct {
+	surplus bool // opened beyond the VM's limit
+}
+
 // Totals are counts of one endpoint since the start.
 type Totals struct {
 	VM        string `json:"vm"`
 	Executed  int64  `json:"executed"`
-	Refused   int64  `json:"refused"` // no slot, or leaving
+	Refused   int64  `json:"refused"` // no slot, too many connections, or leaving
 	Failed    int64  `json:"failed"`  // fail_all or flapping
 	Busy      int    `json:"busy"`
 	Held      int    `json:"held"` // by freeze, now
@@ -110,6 +115,7 @@
 // begin asks what to do with a request.
 type begin struct {
 	host     *host
+	conn     net.Conn
 	connTime int64 // ns since the epoch
 	effect   Effect
 	reply    chan verdict // capacity 1
@@ -142,6 +148,10 @@
 	}
 	v := verdict{status: fasthttp.StatusOK, service: service, id: b.effect.ID, effect: -1}
 	switch {
+	case h.conns[b.conn].surplus:
+		h.totals.Refused++
+		v.status, v.text, v.close = fasthttp.StatusTooManyRequests, "too many connections", true
+		return v
 	case f.Leaving:
 		h.totals.Refused++
 		v.status, v.text, v.close = fasthttp.StatusServiceUnavailable, "leaving", true
@@ -210,7 +220,7 @@
 		delete(c.host.conns, c.conn)
 		return
 	}
-	c.host.conns[c.conn] = struct{}{}
+	c.host.conns[c.conn] = connState{surplus: len(c.host.conns) >= c.host.vm.Connections}
 	c.host.totals.PeakConns = max(c.host.totals.PeakConns, len(c.host.conns))
 	if c.host.faults.Down { // accepted just before the listener closed
 		c.conn.Close()
--- a/standin/platform/tasks_test.go
+++ b/standin/platform/tasks_test.go
@@ -65,6 +65,7 @@
 	require.ErrorIs(t, throttle(1000), store.ErrNoRoom)
 }
 
+// A task whose holder is gone must end, or it runs beside its next placement.
 func TestLeaseEndsRun(t *testing.T) {
 	now := time.Unix(1000, 0)
 	ts := newTasks()
