--- a/daemon/controller/poolkeeper/duty_test.go
+++ b/daemon/controller/poolkeeper/duty_test.go
@@ -25,6 +25,8 @@
 
 func (idleGateways) ConfirmDrain(context.Context, string, string, uint64) (int, error) { return 0, nil }
 
+func (idleGateways) Demand(context.Context, string) ([]structs.ServiceDemand, error) { return nil, nil }
+
 func testConfig(id string) Config {
 	return Config{
 		ID: id, LeaseDuration: 400 * time.Millisecond, Reconcile: 20 * time.Millisecond,
@@ -72,10 +74,7 @@
 
 func addVMs(f *storetest.Fake, n int) {
 	for i := range n {
-		f.AddVM(structs.VM{
-			ID: fmt.Sprintf("vm%03d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Rack: fmt.Sprintf("r%d", i/3%2),
-			State: structs.VMLive, Slots: 8,
-		})
+		f.AddVM(testVM(fmt.Sprintf("vm%03d", i)))
 	}
 }
 
