Prepare all hosts with one copy of the map; start and stop stand-ins in a test

Cause: a call to a new VM copies the map of VMs, so that 15,000 first calls would copy 15,000 maps; Retain now makes the hosts of the whole view. Conclusion: one map copy for each view; the last share wins when share and view change at the same time.

--- a/cli/standin_test.go
+++ b/cli/standin_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -47,3 +48,27 @@
 	require.Equal(t, "127.0.2.44:80", vms[299].Addr)
 	require.Equal(t, "dc2-r38", vms[299].Rack)
 }
+
+// lines delivers what a command prints.
+type lines chan string
+
+func (l lines) Write(p []byte) (int, error) { l <- string(p); return len(p), nil }
+
+// A stand-in that does not end with its process's signal is left behind by
+// scripts. The context stands for the signal here.
+func TestStandinsStartAndStop(t *testing.T) {
+	for _, args := range [][]string{
+		{"standin", "platform", "--listen", "127.0.0.1:0"},
+		{"standin", "endpoint", "--count", "3", "--port", "0"},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		out, done := make(lines, 10), make(chan error, 1)
+		root := NewRoot()
+		root.SetArgs(args)
+		root.SetOut(out)
+		go func() { done <- root.ExecuteContext(ctx) }()
+		require.Contains(t, <-out, "listening on 127.0.0.1:")
+		cancel()
+		require.NoError(t, <-done)
+	}
+}
--- a/peer/endpoint/bench_test.go
+++ b/peer/endpoint/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	peer "github.com/carobwharf/carobwharf/peer/endpoint"
 	"github.com/carobwharf/carobwharf/standin/endpoint"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -45,3 +46,17 @@
 		}
 	})
 }
+
+// The view of the whole fleet arrives every second at most.
+func BenchmarkRetain(b *testing.B) {
+	vms, err := endpoint.Fleet(15000, "127.0.1.1", 80, []string{"dc1"}, 8, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := peer.New(peer.Options{})
+	c.Retain(vms)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Retain(vms)
+	}
+}
--- a/peer/endpoint/client.go
+++ b/peer/endpoint/client.go
@@ -82,33 +82,47 @@
 // share each endpoint's connections. Connections beyond a smaller share are
 // closed as their calls end.
 func (c *Client) SetShare(rank, processes int) {
-	s := share{rank: rank, processes: max(processes, 1)}
-	c.share.Store(&s)
-	for _, h := range *c.hosts.Load() {
-		h.SetMaxConns(s.of(h.conns))
+	c.share.Store(&share{rank: rank, processes: max(processes, 1)})
+	c.applyShare(nil)
+}
+
+// applyShare brings all hosts to the share in force if it is not the given
+// one. It starts again when the share changes meanwhile, so that the last
+// share wins.
+func (c *Client) applyShare(applied *share) {
+	for s := c.share.Load(); s != applied; s = c.share.Load() {
+		for _, h := range *c.hosts.Load() {
+			h.SetMaxConns(s.of(h.conns))
+		}
+		applied = s
 	}
 }
 
-// Retain closes the connections to VMs that are not in the list, or that have
-// another address now, those in use after their call.
+// Retain prepares for calls to these VMs and closes the connections to all
+// others, or to former addresses, those in use after their call. Calls to
+// other VMs still work, but each of them copies the map of VMs once.
 func (c *Client) Retain(vms []structs.VM) {
-	addrs := make(map[string]string, len(vms))
-	for _, vm := range vms {
-		addrs[vm.ID] = vm.Addr
-	}
-	gone := func(id string, h *host) bool { return addrs[id] != h.Addr() }
 	for {
 		old := c.hosts.Load()
-		next := maps.Clone(*old)
-		maps.DeleteFunc(next, gone)
+		s := c.share.Load()
+		next := make(hostMap, len(vms))
+		for i := range vms {
+			vm := &vms[i]
+			if h := (*old)[vm.ID]; h != nil && h.Addr() == vm.Addr && h.conns == vm.Connections {
+				next[vm.ID] = h
+			} else {
+				next[vm.ID] = c.newHost(vm, s)
+			}
+		}
 		if !c.hosts.CompareAndSwap(old, &next) {
 			continue // another call added a VM meanwhile
 		}
 		for id, h := range *old {
-			if gone(id, h) {
+			if next[id] != h {
 				h.Retire()
 			}
 		}
+		c.applyShare(s)
 		return
 	}
 }
@@ -125,22 +139,17 @@
 			return h
 		}
 		before := c.share.Load()
-		if known && h.Addr() == vm.Addr {
-			h = &host{Host: h.Host, conns: vm.Connections}
-			h.SetMaxConns(before.of(vm.Connections))
-		} else {
-			h = c.newHost(vm, before)
-		}
+		fresh := c.newHost(vm, before)
 		next := maps.Clone(*old)
-		next[vm.ID] = h
+		next[vm.ID] = fresh
 		if !c.hosts.CompareAndSwap(old, &next) {
 			continue
 		}
-		// SetShare did not reach the host before it was in the map.
-		if after := c.share.Load(); after != before {
-			h.SetMaxConns(after.of(vm.Connections))
+		if known {
+			h.Retire()
 		}
-		return h
+		c.applyShare(before) // SetShare did not reach the host before it was in the map
+		return fresh
 	}
 }
 
--- a/peer/endpoint/client_test.go
+++ b/peer/endpoint/client_test.go
@@ -253,7 +253,7 @@
 	require.True(t, conns(4)())
 	vm.Connections = 12
 	c.SetShare(0, 6)
-	open(1) // the call that sees the smaller bound closes idle connections
+	open(1) // the call that sees the smaller bound gives the old connections back
 	open(2)
 	require.Eventually(t, conns(2), 10*time.Second, time.Millisecond)
 	c.Retain(nil)
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -140,10 +138,10 @@
 
 // Snapshot is the answer to GET /state.
 type Snapshot struct {
-	Rows    int      `json:"rows"`
-	Objects []string `json:"objects"`
-	VMs     int      `json:"vms"`
-	Runs    int      `json:"runs"` // running and recently ended
+	Rows    int `json:"rows"`
+	Objects int `json:"objects"`
+	VMs     int `json:"vms"`
+	Runs    int `json:"runs"` // running and recently ended
 
 	Calls  ring.Stats `json:"calls"`
 	Counts Counts     `json:"counts"`
@@ -157,7 +155,7 @@
 func (readState) apply(s *state) reply {
 	return ok(Snapshot{
 		Rows:    len(s.table.cells),
-		Objects: slices.Sorted(maps.Keys(s.objects)),
+		Objects: len(s.objects),
 		VMs:     len(s.fleet.list(s.now())),
 		Runs:    len(s.tasks.runs),
 		Calls:   s.callStats(),
