Skip the copy when the view of VMs did not change

Cause: the view arrives every second and rarely changes. Ruled out: comparing view versions, which the client does not know. Conclusion: an unchanged view costs a comparison.

--- a/peer/endpoint/client.go
+++ b/peer/endpoint/client.go
@@ -46,6 +46,24 @@
 	conns int // of all processes together, as in structs.VM
 }
 
+// serves reports whether the host exists and fits the VM as it is now.
+func (h *host) serves(vm *structs.VM) bool {
+	return h != nil && h.Addr() == vm.Addr && h.conns == vm.Connections
+}
+
+// match reports whether the map has exactly these VMs, as they are now.
+func (m hostMap) match(vms []structs.VM) bool {
+	if len(m) != len(vms) {
+		return false
+	}
+	for i := range vms {
+		if !m[vms[i].ID].serves(&vms[i]) {
+			return false
+		}
+	}
+	return true
+}
+
 // share is this process's part of each endpoint's connections.
 type share struct{ rank, processes int }
 
@@ -104,11 +122,14 @@
 func (c *Client) Retain(vms []structs.VM) {
 	for {
 		old := c.hosts.Load()
+		if old.match(vms) {
+			return
+		}
 		s := c.share.Load()
 		next := make(hostMap, len(vms))
 		for i := range vms {
 			vm := &vms[i]
-			if h := (*old)[vm.ID]; h != nil && h.Addr() == vm.Addr && h.conns == vm.Connections {
+			if h := (*old)[vm.ID]; h.serves(vm) {
 				next[vm.ID] = h
 			} else {
 				next[vm.ID] = c.newHost(vm, s)
@@ -135,7 +156,7 @@
 	for {
 		old := c.hosts.Load()
 		h, known := (*old)[vm.ID]
-		if known && h.Addr() == vm.Addr && h.conns == vm.Connections {
+		if h.serves(vm) {
 			return h
 		}
 		before := c.share.Load()
