Count the requests that a reboot cuts off

Cause: planned stops must be graceful; the stand-in finished the requests of an endpoint that had gone down as if nothing had happened. Ruled out: interrupting the handler; its slot and its effect belong to an earlier life of the endpoint and no longer count. Conclusion: Totals.CutOff must stay 0 through a maintenance wave.

--- a/peer/internal/roundtrip/roundtrip.go
+++ b/peer/internal/roundtrip/roundtrip.go
@@ -153,17 +153,16 @@
 			continue // ends: each turn takes one connection out of the bounded pool
 		}
 		reusable, err := h.exchange(c, x, fresh)
-		if err == nil && reusable && int64(h.hc.ConnsCount()) <= h.limit.Load() {
-			h.hc.ReleaseConn(cc)
-			return nil
+		var f *Failure
+		if err != nil {
+			f = &Failure{Written: c.written > 0, Timeout: isTimeout(err), Err: err}
 		}
-		if err == nil {
-			h.hc.CloseConn(cc)
-			return nil
+		silent := f != nil && f.Timeout && !fresh && c.read == 0
+		if reusable && h.mayKeep() {
+			h.hc.ReleaseConn(cc)
+		} else {
+			h.hc.CloseConn(cc) // c is not used after this
 		}
-		f := &Failure{Written: c.written > 0, Timeout: isTimeout(err), Err: err}
-		silent := f.Timeout && !fresh && c.read == 0
-		h.hc.CloseConn(cc)
 		if silent {
 			// When one open connection went silent, the others usually did
 			// too; each of them would cost a request its deadline.
@@ -173,6 +172,9 @@
 	}
 }
 
+// mayKeep reports whether the open connections are within the limit.
+func (h *Host) mayKeep() bool { return int64(h.hc.ConnsCount()) <= h.limit.Load() }
+
 func (h *Host) tooOld(created time.Time) bool {
 	return h.opt.MaxAge > 0 && time.Since(created) > h.opt.MaxAge
 }
--- a/standin/endpoint/control.go
+++ b/standin/endpoint/control.go
@@ -16,6 +16,11 @@
 	if !f.Silence {
 		h.silence = 0
 	}
+	if f.Down && !h.faults.Down {
+		h.totals.CutOff += int64(h.busy)
+		h.busy = 0
+		h.life++
+	}
 	h.faults, h.since = f, now
 	if f.Freeze {
 		return
--- a/standin/endpoint/handler.go
+++ b/standin/endpoint/handler.go
@@ -68,7 +68,7 @@
 		return
 	}
 	finished := s.pause(v.wait)
-	s.post(end{host: h, effect: v.effect, finished: finished})
+	s.post(end{host: h, effect: v.effect, life: v.life, finished: finished})
 	s.pause(v.late)
 	if v.lose {
 		ctx.Conn().Close()
--- a/standin/endpoint/server_test.go
+++ b/standin/endpoint/server_test.go
@@ -116,6 +116,29 @@
 	require.Contains(t, body, "leafing")
 }
 
+// A request that a reboot cut off must show in the counts, or a stop that is
+// not graceful goes unseen. It must not finish afterwards.
+func TestGoingDownCutsOff(t *testing.T) {
+	s, vm := start(t, 2, 64)
+	require.NoError(t, s.SetFaults("", Faults{Slow: units.Duration(500 * time.Millisecond)}))
+	done := make(chan error)
+	go func() {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + vm.Addr + "/s/o")
+		req.Header.SetMethod(fasthttp.MethodPost)
+		done <- fasthttp.DoTimeout(req, resp, 10*time.Second)
+	}()
+	require.Eventually(t, func() bool { return s.Totals()[0].Busy == 1 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, s.SetDown(vm.ID, true))
+	require.Error(t, <-done)
+	require.NoError(t, s.SetDown(vm.ID, false))
+	require.Eventually(t, func() bool { return s.Totals()[0].Conns == 0 }, 10*time.Second, time.Millisecond, "the handler must have ended")
+	require.True(t, s.Effects(0, 0).Effects[0].Finished.IsZero())
+	got := s.Totals()[0]
+	require.Equal(t, int64(1), got.CutOff)
+	require.Zero(t, got.Busy)
+}
+
 // Ejection is tested against endpoints that fail for a while and recover.
 func TestFlappingAlternates(t *testing.T) {
 	f, since := Faults{FlapPeriod: units.Duration(2 * time.Second)}, time.Unix(1000, 0)
--- a/standin/endpoint/state.go
+++ b/standin/endpoint/state.go
@@ -39,6 +39,7 @@
 	cut     float64 // part of the answer that is sent before the connection closes; 0 sends all
 	id      string  // id in the answer
 	effect  int     // index in the log; -1 if the log is full
+	life    int     // of the host, when the request began
 }
 
 // event is a message to the state duty; apply runs there only.
@@ -54,6 +55,7 @@
 	since   time.Time // when the faults were set
 	silence int64     // ns since the epoch; connections opened until then are silent
 	busy    int       // slots in use
+	life    int       // grows when the endpoint goes down
 	held    []begin
 	conns   map[net.Conn]connState
 	ln      net.Listener // nil while connections are refused
@@ -73,6 +75,7 @@
 	Executed  int64  `json:"executed"`
 	Refused   int64  `json:"refused"` // no slot, too many connections, or leaving
 	Failed    int64  `json:"failed"`  // fail_all or flapping
+	CutOff    int64  `json:"cut_off"` // being executed when the endpoint went down
 	Busy      int    `json:"busy"`
 	Held      int    `json:"held"` // by freeze, now
 	PeakBusy  int    `json:"peak_busy"`
@@ -146,23 +149,8 @@
 	if !known {
 		service = s.cfg.Default
 	}
-	v := verdict{status: fasthttp.StatusOK, service: service, id: b.effect.ID, effect: -1}
-	switch {
-	case h.conns[b.conn].surplus:
-		h.totals.Refused++
-		v.status, v.text, v.close = fasthttp.StatusTooManyRequests, "too many connections", true
-		return v
-	case f.Leaving:
-		h.totals.Refused++
-		v.status, v.text, v.close = fasthttp.StatusServiceUnavailable, "leaving", true
-		return v
-	case f.failing(h.since, now):
-		h.totals.Failed++
-		v.status, v.text = fasthttp.StatusInternalServerError, "failed"
-		return v
-	case h.busy >= h.vm.Slots:
-		h.totals.Refused++
-		v.status, v.text = fasthttp.StatusTooManyRequests, "no slot free"
+	v := verdict{status: fasthttp.StatusOK, service: service, id: b.effect.ID, effect: -1, life: h.life}
+	if h.refuse(&v, b.conn, now) {
 		return v
 	}
 	h.busy++
@@ -182,6 +170,26 @@
 	return v
 }
 
+// refuse fills in the verdict for a request that is not executed.
+func (h *host) refuse(v *verdict, c net.Conn, now time.Time) bool {
+	switch {
+	case h.conns[c].surplus:
+		v.status, v.text, v.close = fasthttp.StatusTooManyRequests, "too many connections", true
+	case h.faults.Leaving:
+		v.status, v.text, v.close = fasthttp.StatusServiceUnavailable, "leaving", true
+	case h.faults.failing(h.since, now):
+		v.status, v.text = fasthttp.StatusInternalServerError, "failed"
+		h.totals.Failed++
+		return true
+	case h.busy >= h.vm.Slots:
+		v.status, v.text = fasthttp.StatusTooManyRequests, "no slot free"
+	default:
+		return false
+	}
+	h.totals.Refused++
+	return true
+}
+
 func (s *state) chance(p float64) bool { return p > 0 && s.rng.Float64() < p }
 
 func (s *state) record(e Effect, vm string, now time.Time) int {
@@ -198,10 +206,14 @@
 type end struct {
 	host     *host
 	effect   int
+	life     int
 	finished bool
 }
 
 func (e end) apply(s *state) {
+	if e.life != e.host.life {
+		return // cut off
+	}
 	e.host.busy--
 	if e.finished && e.effect >= 0 {
 		s.effects[e.effect].Finished = time.Now()
