--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -41,13 +41,25 @@
 	balancer            *balancer
 	seeds               []string
 	started             int
+	timing              string // end of each settings file
 }
 
+// fastTiming shortens leases and lifetimes, so that a test sees their end
+// within seconds. It continues the section controller.
+const fastTiming = `lease_duration = 3s
+reconcile = 300ms
+[membership]
+interval = 200ms
+suspect_after = 1s
+remove_after = 1s
+row_lifetime = 5s
+`
+
 // newDeployment starts stand-ins and processes. Further arguments go to the
 // endpoint stand-in.
 func newDeployment(t testing.TB, controllers, gateways int, endpointArgs ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t)}
+	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t), timing: fastTiming}
 	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
 	args := []string{"standin", "endpoint", "--control", "127.0.0.1:0",
 		"--count", strconv.Itoa(vmCount), "--port", "0", "--mean", "20ms", "--sigma", "0.5",
@@ -81,20 +93,13 @@
 [platform]
 addr = %s
 timeout = 1s
-[membership]
-interval = 200ms
-suspect_after = 1s
-remove_after = 1s
-row_lifetime = 5s
 [gateway]
 listen = 127.0.0.1:0
 drain_grace = 1s
 [controller]
 operator_listen = 127.0.0.1:0
 operator_key = %s
-lease_duration = 3s
-reconcile = 300ms
-`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey)
+%s`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey, d.timing)
 	file = filepath.Join(d.dir, name+".ini")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	return name, file
