Test that every settings and object field has a key

A field that is added without a key cannot be set, and an object's field is lost when a set is written and read back. Ruled out: comparing counts, which misses a key that is bound to another field. With the key of Pool.Spare removed, the test fails.

--- /dev/null
+++ b/settings/coverage_test.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// A field without a key could not be set, and would be lost from a set that is
+// written and read back.
+func TestEveryFieldHasAKey(t *testing.T) {
+	var process []field[Process]
+	for _, fields := range processSections {
+		process = append(process, fields...)
+	}
+	requireKeys(t, process)
+	requireKeys(t, poolFields, "Name")
+	requireKeys(t, serviceFields, "Name")
+	requireKeys(t, budgetFields, "Name")
+	requireKeys(t, stopPlanFields, "Name")
+	requireKeys(t, teamFields, "Name")
+	require.Equal(t, len(structs.Kinds), reflect.TypeFor[structs.ObjectSet]().NumField())
+}
+
+// requireKeys changes each field of a zero T by itself and expects that the
+// text of some key changes.
+func requireKeys[T any](t *testing.T, fields []field[T], except ...string) {
+	t.Helper()
+	var zero T
+	eachLeaf(reflect.TypeFor[T](), nil, "", func(index []int, name string) {
+		var changed T
+		change(reflect.ValueOf(&changed).Elem().FieldByIndex(index))
+		for _, f := range fields {
+			if f.get(&changed) != f.get(&zero) {
+				return
+			}
+		}
+		require.Contains(t, except, name)
+	})
+}
+
+func eachLeaf(kind reflect.Type, index []int, path string, visit func(index []int, name string)) {
+	for i := range kind.NumField() {
+		f := kind.Field(i)
+		at := append(append([]int(nil), index...), i)
+		if f.Type.Kind() == reflect.Struct {
+			eachLeaf(f.Type, at, path+f.Name+".", visit)
+			continue
+		}
+		visit(at, path+f.Name)
+	}
+}
+
+func change(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(0.5)
+	case reflect.Slice:
+		v.Set(reflect.ValueOf([]string{"x"}))
+	default:
+		v.SetInt(7)
+	}
+}
