Do not merge a set that was made from nothing

A submission with base 0 to an existing configuration was rebased like any other: its objects were added to the head's. An operator who forgets the base would publish the union of two sets, and a first submission that is repeated after its row is gone could bring back removed objects. It is a conflict now that names every object that differs; the same content is reported as unchanged.

--- a/publication/publication_test.go
+++ b/publication/publication_test.go
@@ -115,6 +115,20 @@
 	})
 }
 
+// A set that was made from nothing must neither be merged into an existing
+// configuration nor replace it.
+func TestGenerationZeroIsNotMerged(t *testing.T) {
+	head := &structs.Config{Generation: 5, Set: structs.ObjectSet{Teams: []structs.Team{{Name: "sales"}}}}
+	other := structs.ObjectSet{Teams: []structs.Team{{Name: "crews"}}}
+	_, err := Decide(&structs.Config{}, head, &other)
+	var conflict *Conflict
+	require.ErrorAs(t, err, &conflict)
+	require.Len(t, conflict.Objects, 2)
+	plan, err := Decide(&structs.Config{}, head, &head.Set)
+	require.NoError(t, err)
+	require.True(t, plan.Unchanged)
+}
+
 func TestSupersedesNeverFalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var current *structs.Config
--- a/publication/publish.go
+++ b/publication/publish.go
@@ -50,9 +50,11 @@
 //     as a whole before it is published.
 //   - If both changed an object differently, the result is a *Conflict.
 //   - A base above the head gives ErrFutureBase.
+//   - Generation 0 is only the base of the first set. A set that was made from
+//     nothing is not merged with an existing one: it gives a *Conflict that
+//     names every object that differs.
 //
-// base.Set is the content of the generation that the submission is based on;
-// generation 0 is the empty set.
+// base.Set is the content of the generation that the submission is based on.
 func Decide(base, head *structs.Config, submitted *structs.ObjectSet) (Plan, error) {
 	if base.Generation > head.Generation {
 		return Plan{}, fmt.Errorf("%w: base %d, head %d", ErrFutureBase, base.Generation, head.Generation)
@@ -74,9 +76,15 @@
 
 // rebase applies the submission's changes to the head's set.
 func rebase(base, head *structs.Config, submitted *structs.ObjectSet) (structs.ObjectSet, error) {
+	between := Diff(&head.Set, submitted)
+	if base.Generation == 0 {
+		if between.Empty() {
+			return head.Set, nil
+		}
+		return structs.ObjectSet{}, &Conflict{Base: 0, Head: head.Generation, Objects: between.Refs()}
+	}
 	theirs := Diff(&base.Set, &head.Set)
 	ours := Diff(&base.Set, submitted)
-	between := Diff(&head.Set, submitted)
 	// An object that differs from the base on both sides is a conflict unless
 	// both sides made the same change.
 	both := intersect(intersect(ours.Refs(), theirs.Refs()), between.Refs())
