Delete old rows of generations and submissions

After every 16th generation the publisher deletes up to 32 of the oldest, if they are older than 24 h and not among the last 1,000, in one conditional transaction. That is one scan, at most 32 reads and one write for 16 publications.

A repetition after that names a base that is unknown and is refused, so it is not published a second time. Sets in the object store stay, because the contract of the platform has no deletion of objects.

--- a/daemon/controller/publisher/history_test.go
+++ b/daemon/controller/publisher/history_test.go
@@ -143,3 +143,35 @@
 	require.Equal(t, uint64(2), r.Generation)
 	require.Equal(t, uint64(3), headGeneration(t, late.Platform))
 }
+
+// Old rows must go, rows that a late base or repetition needs must stay, and a
+// repetition of a submission whose row is gone must not publish again.
+func TestPrune(t *testing.T) {
+	p := fakestore.New(t.Context())
+	now := time.Now()
+	o := &Options{Platform: p, Timeout: time.Second, Deadline: time.Second, Log: hclog.NewNullLogger(),
+		Current: func() *structs.Config { return nil }, Now: func() time.Time { return now }}
+	submit := func(id string, base uint64, s structs.ObjectSet) error {
+		a := attempt{opts: o, submission: &Submission{ID: id, Base: base, Set: s}}
+		_, err := a.run(t.Context())
+		return err
+	}
+	for i := range 4 {
+		require.NoError(t, submit(fmt.Sprintf("prune-%02d", i), uint64(i), set(i, 0)))
+	}
+	count := func() int {
+		found, err := store.ScanAll(t.Context(), p, "config/")
+		require.NoError(t, err)
+		return len(found)
+	}
+	before := count()
+	require.NoError(t, prune(t.Context(), o, keepGenerations+2))
+	require.Equal(t, before, count(), "rows of the last day stay")
+	now = now.Add(keepFor + time.Second)
+	require.NoError(t, prune(t.Context(), o, 4))
+	require.Equal(t, before, count(), "the last generations stay")
+	require.NoError(t, prune(t.Context(), o, keepGenerations+2))
+	require.Equal(t, before-4, count())
+	require.ErrorIs(t, submit("prune-01", 1, set(1, 0)), ErrBaseUnknown)
+	require.NoError(t, submit("prune-03", 3, set(3, 0)), "a repetition whose row stays")
+}
--- a/daemon/controller/publisher/publisher.go
+++ b/daemon/controller/publisher/publisher.go
@@ -51,6 +51,7 @@
 // Platform is the part of the platform that the duty uses.
 type Platform interface {
 	Get(ctx context.Context, key string) (store.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error)
 	Commit(ctx context.Context, ops []store.Op) ([]uint64, error)
 	PutObject(ctx context.Context, name string, data []byte) error
 	GetObject(ctx context.Context, name string) ([]byte, error)
@@ -172,6 +173,23 @@
 	p.opts.Log.Info("submission published", "submission", d.submission.ID, "generation", r.Generation,
 		"rebased", r.Rebased, "unchanged", r.Unchanged, "repeated", r.Repeated)
 	p.opts.Published(ctx, r.Generation)
+	if r.Generation%pruneEvery == 0 && !r.Unchanged && !r.Repeated {
+		p.startPrune(ctx, r.Generation)
+	}
+}
+
+// startPrune deletes old rows in the pool. Nothing waits for the result: what
+// is left, the next deletion finds.
+func (p *Publisher) startPrune(ctx context.Context, head uint64) {
+	opts, log := &p.opts, p.opts.Log
+	err := p.opts.Pool.Go(func() {
+		if err := prune(ctx, opts, head); err != nil {
+			log.Debug("old generations stay for now", "error", err)
+		}
+	})
+	if err != nil {
+		log.Debug("old generations stay for now", "error", err)
+	}
 }
 
 // stop waits for the submission in progress and refuses the queued ones.
