--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -34,23 +34,38 @@
 
 // deployment is a set of processes with the demonstration's objects.
 type deployment struct {
-	t                   *testing.T
+	t                   testing.TB
 	dir                 string
 	platform, endpoints *child
 	controllers         []*child
 	balancer            *balancer
 	seeds               []string
 	started             int
+	timing              string // end of each settings file
 }
 
-func newDeployment(t *testing.T, controllers, gateways int) *deployment {
+// fastTiming shortens leases and lifetimes, so that a test sees their end
+// within seconds. It continues the section controller.
+const fastTiming = `lease_duration = 3s
+reconcile = 300ms
+[membership]
+interval = 200ms
+suspect_after = 1s
+remove_after = 1s
+row_lifetime = 5s
+`
+
+// newDeployment starts stand-ins and processes. Further arguments go to the
+// endpoint stand-in.
+func newDeployment(t testing.TB, controllers, gateways int, endpointArgs ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t)}
+	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t), timing: fastTiming}
 	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
-	d.endpoints = start(t, "endpoints", standinReady, "standin", "endpoint", "--control", "127.0.0.1:0",
+	args := []string{"standin", "endpoint", "--control", "127.0.0.1:0",
 		"--count", strconv.Itoa(vmCount), "--port", "0", "--mean", "20ms", "--sigma", "0.5",
 		"--service", "catalogue=legacy:chunked", "--service", "registry=legacy:close",
-		"--register", d.platform.addrs["listen"])
+		"--register", d.platform.addrs["listen"]}
+	d.endpoints = start(t, "endpoints", standinReady, append(args, endpointArgs...)...)
 	for range controllers {
 		d.controllers = append(d.controllers, d.startController())
 	}
@@ -78,20 +93,13 @@
 [platform]
 addr = %s
 timeout = 1s
-[membership]
-interval = 200ms
-suspect_after = 1s
-remove_after = 1s
-row_lifetime = 5s
 [gateway]
 listen = 127.0.0.1:0
 drain_grace = 1s
 [controller]
 operator_listen = 127.0.0.1:0
 operator_key = %s
-lease_duration = 3s
-reconcile = 300ms
-`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey)
+%s`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey, d.timing)
 	file = filepath.Join(d.dir, name+".ini")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	return name, file
@@ -126,7 +134,7 @@
 
 // waitAdopted waits until every VM belongs to a pool.
 func (d *deployment) waitAdopted() {
-	client := platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
+	client := d.platformClient()
 	defer client.Close()
 	require.Eventually(d.t, func() bool {
 		rows, err := store.ScanAll(context.Background(), client, store.PrefixVM)
@@ -134,6 +142,10 @@
 	}, 30*time.Second, 100*time.Millisecond)
 }
 
+func (d *deployment) platformClient() *platform.Client {
+	return platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
+}
+
 // platformFaults changes fault switches of the platform stand-in.
 func (d *deployment) platformFaults(faults string) {
 	resp, err := http.Post("http://"+d.platform.addrs["listen"]+"/faults", "application/json", strings.NewReader(faults))
@@ -198,7 +210,7 @@
 // balancer sends each call to the next gateway that reports to be ready, as
 // the platform's load balancer does.
 type balancer struct {
-	t        *testing.T
+	t        testing.TB
 	gateways chan []*target // the current list; taken and put back to change it
 	ready    atomic.Pointer[[]*target]
 	next     atomic.Uint64
@@ -213,7 +225,7 @@
 // the gateways' drain grace.
 const checkInterval = 50 * time.Millisecond
 
-func newBalancer(t *testing.T) *balancer {
+func newBalancer(t testing.TB) *balancer {
 	b := &balancer{t: t, gateways: make(chan []*target, 1)}
 	b.gateways <- nil
 	b.ready.Store(&[]*target{})
