--- a/daemon/gateway/journal/batch.go
+++ b/daemon/gateway/journal/batch.go
@@ -106,7 +106,8 @@
 	if len(m.writes) == 0 {
 		return nil
 	}
-	if len(m.writes) < m.opts.Batch && now.Sub(m.writes[0].since) < m.opts.Linger {
+	// While the platform is down, the call that tries it does not linger.
+	if !m.down && len(m.writes) < m.opts.Batch && now.Sub(m.writes[0].since) < m.opts.Linger {
 		return nil
 	}
 	t := &Task{Kind: CommitRows}
--- a/daemon/gateway/journal/journal.go
+++ b/daemon/gateway/journal/journal.go
@@ -147,28 +147,34 @@
 func (j *Journal) run(t *Task) {
 	ctx, cancel := context.WithTimeout(context.Background(), j.cfg.Timeout)
 	defer cancel()
+	r := execute(ctx, j.cfg.Platform, t)
+	if r.Err != nil {
+		j.cfg.Log.Debug("platform call failed", "call", t.Kind, "err", r.Err)
+	}
+	// Only a stop that ran out of time closes the ring; the result has no use then.
+	_ = j.results.Put(context.Background(), r)
+}
+
+// execute makes the call that a task describes.
+func execute(ctx context.Context, p Platform, t *Task) Result {
 	r := Result{Task: t}
 	switch t.Kind {
 	case CommitRows:
-		r.Versions, r.Err = j.cfg.Platform.Commit(ctx, t.Ops)
+		r.Versions, r.Err = p.Commit(ctx, t.Ops)
 	case ReadRows:
-		r.Rows, r.Err = j.readRows(ctx, t.Keys)
+		r.Rows, r.Err = readRows(ctx, p, t.Keys)
 	case PutObject:
-		r.Err = j.cfg.Platform.PutObject(ctx, t.Object, t.Data)
+		r.Err = p.PutObject(ctx, t.Object, t.Data)
 	case GetObject:
-		r.Data, r.Err = j.cfg.Platform.GetObject(ctx, t.Object)
-	}
-	if r.Err != nil {
-		j.cfg.Log.Debug("platform call failed", "call", t.Kind, "err", r.Err)
+		r.Data, r.Err = p.GetObject(ctx, t.Object)
 	}
-	// Only a stop that ran out of time closes the ring; the result has no use then.
-	_ = j.results.Put(context.Background(), r)
+	return r
 }
 
-func (j *Journal) readRows(ctx context.Context, keys []string) (map[string]*store.Row, error) {
+func readRows(ctx context.Context, p Platform, keys []string) (map[string]*store.Row, error) {
 	rows := make(map[string]*store.Row, len(keys))
 	for _, k := range keys {
-		row, err := j.cfg.Platform.Get(ctx, k)
+		row, err := p.Get(ctx, k)
 		switch {
 		case errors.Is(err, store.ErrNotFound):
 			rows[k] = nil
