--- a/cli/root.go
+++ b/cli/root.go
@@ -21,6 +21,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newVersionCmd(), newStandinCmd(), newLoadCmd(), newBenchCmd())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
+	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd(), newConfigCmd())
+	root.AddCommand(newControllerCmd(), newGatewayCmd())
+	root.AddCommand(newStandinCmd(), newLoadCmd(), newBenchCmd(), newDemoCmd())
+	root.AddCommand(newVersionCmd())
 	return root
 }
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobwharf/carobwharf/peer/platform/wire"
+	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -96,6 +97,9 @@
 	if !known {
 		return problem(fasthttp.StatusNotFound, "no such VM")
 	}
+	if started {
+		s.tasks.fail(o.id, now)
+	}
 	if started && s.reboots != nil {
 		r := reboot{vm: o.id, up: now.Add(s.cfg.RebootTime)}
 		if s.reboots.Put(context.Background(), r) != nil {
@@ -108,7 +112,7 @@
 type setVMs struct{ vms []structs.VM }
 
 func (o setVMs) apply(s *state) reply {
-	s.fleet.set(o.vms, s.now())
+	s.setVMs(o.vms, s.now())
 	return ok(struct{}{})
 }
 
@@ -136,12 +140,16 @@
 
 // Snapshot is the answer to GET /state.
 type Snapshot struct {
-	Rows    int       `json:"rows"`
-	Objects []string  `json:"objects"`
-	VMs     int       `json:"vms"`
-	Counts  Counts    `json:"counts"`
-	Faults  Faults    `json:"faults"`
-	At      time.Time `json:"at"`
+	Rows    int      `json:"rows"`
+	Objects []string `json:"objects"`
+	VMs     int      `json:"vms"`
+	Runs    int      `json:"runs"` // running and recently ended
+
+	Calls  ring.Stats `json:"calls"`
+	Counts Counts     `json:"counts"`
+	Tasks  TaskCounts `json:"tasks"`
+	Faults Faults     `json:"faults"`
+	At     time.Time  `json:"at"`
 }
 
 type readState struct{}
@@ -151,7 +159,10 @@
 		Rows:    len(s.table.cells),
 		Objects: slices.Sorted(maps.Keys(s.objects)),
 		VMs:     len(s.fleet.list(s.now())),
+		Runs:    len(s.tasks.runs),
+		Calls:   s.callStats(),
 		Counts:  s.counts,
+		Tasks:   s.tasks.counts,
 		Faults:  s.faults,
 		At:      s.now(),
 	})
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,8 +26,9 @@
 	Seed       uint64 // of the probabilities
 	Faults     Faults
 	VMs        []structs.VM
-	RebootTime time.Duration // for which a rebooting VM is not in the list
-	Power      Power         // makes reboots real; nil only changes the list
+	Workers    []store.Worker // besides the VMs, which are workers too
+	RebootTime time.Duration  // for which a rebooting VM is not in the list
+	Power      Power          // makes reboots real; nil only changes the list
 }
 
 // DefaultConfig returns the configuration of a platform without faults.
@@ -93,6 +95,7 @@
 	}
 	s.ln = ln
 	st := newState(s.cfg, &s.silentBefore)
+	st.callStats = s.calls.Stats
 	if s.cfg.Power != nil {
 		st.reboots = s.reboots
 		s.sup.Add(duty.Duty{Name: "reboots", Run: func(ctx context.Context) error { return runReboots(ctx, s.reboots, s.cfg.Power) }})
@@ -165,6 +168,24 @@
 	return rows
 }
 
+// Object returns an object, without limits or faults.
+func (s *Server) Object(name string) ([]byte, bool) {
+	r := s.control(getObject{name})
+	return r.raw, r.status == fasthttp.StatusOK
+}
+
+// Runs returns all runs as they are now.
+func (s *Server) Runs() []store.Run {
+	runs, _ := s.control(allRuns{}).json.([]store.Run)
+	return runs
+}
+
+type allRuns struct{}
+
+func (allRuns) apply(s *state) reply {
+	return ok(s.tasks.usage(s.now(), "", math.MaxInt))
+}
+
 type allRows struct{ prefix string }
 
 func (o allRows) apply(s *state) reply { return ok(s.table.scan(o.prefix, "", len(s.table.cells))) }
--- a/standin/platform/state.go
+++ b/standin/platform/state.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
 )
 
 // class tells which faults and limits apply to a call.
@@ -16,8 +19,13 @@
 	control class = iota // no faults, no limits
 	read
 	write
+	workerRead // workers have their own paths; the store's rates do not apply
+	workerWrite
 )
 
+// changes reports whether calls of the class change something.
+func (c class) changes() bool { return c == write || c == workerWrite }
+
 // operation is a decoded call. apply runs on the state duty only.
 type operation interface {
 	apply(s *state) reply
@@ -45,6 +53,7 @@
 type Counts struct {
 	Reads       int64 `json:"reads"`
 	Writes      int64 `json:"writes"`
+	WorkerCalls int64 `json:"worker_calls"`
 	Limited     int64 `json:"limited"` // refused by a rate limit
 	Refused     int64 `json:"refused"` // refused by outage or refuse_write
 	LostAnswers int64 `json:"lost_answers"`
@@ -59,6 +68,7 @@
 	table   *table
 	objects map[string][]byte
 	fleet   fleet
+	tasks   *tasks
 	reboots *ring.Ring[reboot] // nil if reboots only change the list
 	rng     *rand.Rand
 	reads   bucket
@@ -66,6 +76,8 @@
 	held    []call
 	counts  Counts
 	now     func() time.Time
+	// callStats returns the counters of the ring that the duty reads.
+	callStats func() ring.Stats
 	// silentBefore is the time in ns since the epoch up to which connections
 	// were opened that never answer again. Handlers read it.
 	silentBefore *atomic.Int64
@@ -76,15 +88,29 @@
 		cfg:          cfg,
 		faults:       cfg.Faults,
 		table:        newTable(),
+		tasks:        newTasks(),
 		objects:      make(map[string][]byte),
 		rng:          rand.New(rand.NewPCG(cfg.Seed, 1)),
 		now:          time.Now,
 		silentBefore: silentBefore,
 	}
-	s.fleet.set(cfg.VMs, time.Time{})
+	s.setVMs(cfg.VMs, time.Time{})
 	return s
 }
 
+// setVMs replaces the VM list; each VM is a worker as well.
+func (s *state) setVMs(vms []structs.VM, now time.Time) {
+	s.fleet.set(vms, now)
+	workers := slices.Clone(s.cfg.Workers)
+	for _, vm := range vms {
+		workers = append(workers, store.Worker{
+			ID: vm.ID, DataCentre: vm.DataCentre, Rack: vm.Rack,
+			MilliCores: 1000 * vm.Cores, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators,
+		})
+	}
+	s.tasks.setWorkers(workers, now)
+}
+
 // run serves calls until ctx ends.
 func (s *state) run(ctx context.Context, calls *ring.Ring[call]) error {
 	for {
@@ -112,7 +138,7 @@
 	}
 	r := c.op.apply(s)
 	r.delay = time.Duration(s.faults.Delay)
-	if c.class == write && s.chance(s.faults.LoseAnswer) {
+	if c.class.changes() && s.chance(s.faults.LoseAnswer) {
 		r.lose = true
 		s.counts.LostAnswers++
 	}
@@ -128,13 +154,16 @@
 
 // refuse decides whether the call is answered without being executed.
 func (s *state) refuse(c class) (reply, bool) {
-	if s.faults.Outage || c == write && s.chance(s.faults.RefuseWrite) {
+	if s.faults.Outage || c.changes() && s.chance(s.faults.RefuseWrite) {
 		s.counts.Refused++
 		return problem(statusUnavailable, "platform unavailable"), true
 	}
 	limit, rate, count := &s.reads, s.faults.ReadRate, &s.counts.Reads
-	if c == write {
+	switch c {
+	case write:
 		limit, rate, count = &s.writes, s.faults.WriteRate, &s.counts.Writes
+	case workerRead, workerWrite:
+		rate, count = 0, &s.counts.WorkerCalls
 	}
 	if !limit.take(rate, s.now()) {
 		s.counts.Limited++
