Add the flood, buffer and slopes experiments

Cause: the goals for floods, for spare capacity and for the cost of a decision had no measurement. Ruled out: counting moves away from a pool in the offline bound, since one move can be away from one pool and into another; the bound counts fetches only. A bound on hours alone was ruled out as well: it moves a VM for every gap, so the bound is a family over the longest gap that is bridged.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -46,7 +46,10 @@
 // All returns the experiments, sorted by name.
 func All() []Experiment {
 	return []Experiment{
+		{"buffer", "moves between pools against static shares, thresholds and an offline bound", runBuffer},
+		{"flood", "admission against a FIFO queue under floods of each class", runFloodExperiment},
 		{"placement", "placement policies on workers of several types: start delay, makespan, decision time", runPlacement},
+		{"slopes", "time, allocations and bytes of one decision by workers, pools and teams", runSlopes},
 		{"trace", "demand traces of five pools with peaks in turn", runTrace},
 	}
 }
