Read only the ownership rows that changed

Cause: each process read all ownership rows and the VM list every second; the bytes and the CPU time of an idle entry VM grew with the fleet. Ruled out: a log of changes in one row, which needs a condition and makes controllers of different pools conflict; longer intervals, which delay the reaction to a leaving VM. Change: a transaction that writes ownership rows also rewrites, without condition, the mark of each row's bucket (64) and the fleet's mark. A reader polls the fleet's mark, and scans the buckets whose marks changed. The VM list carries a tag, so an unchanged list is not sent. The pool keeper reads the same way.

--- a/daemon/controller/poolkeeper/calls.go
+++ b/daemon/controller/poolkeeper/calls.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/rows"
@@ -52,7 +53,7 @@
 
 func (d *Duty) readRows(ctx context.Context) RowsRead {
 	started := time.Now()
-	rows, bad, err := readRows(ctx, d.opts.Platform)
+	rows, bad, err := readRows(ctx, d.opts.Platform, d.fleet)
 	for _, b := range bad {
 		d.opts.Log.Error("row skipped", "error", b)
 	}
@@ -72,7 +73,10 @@
 		result.Err = err
 		return result
 	}
-	result.Versions, result.Err = d.opts.Platform.Commit(ctx, ops)
+	result.Versions, result.Err = d.opts.Platform.Commit(ctx, slices.Concat(ops, c.marks()))
+	if result.Err == nil {
+		result.Versions = result.Versions[:len(ops)]
+	}
 	if errors.Is(result.Err, store.ErrUnknown) {
 		result.Versions, result.Err = d.readBack(ctx, ops)
 	}
--- a/daemon/controller/poolkeeper/duty.go
+++ b/daemon/controller/poolkeeper/duty.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/node/fleetrows"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
@@ -57,6 +58,7 @@
 	events  *ring.Ring[any]
 	pool    pond.Pool
 	replies map[uint64]chan Result
+	fleet   *fleetrows.Reader // used by the one ReadRows that runs at a time
 	nextID  uint64
 }
 
@@ -67,6 +69,7 @@
 		machine: NewMachine(o.Config),
 		events:  ring.New[any]("poolkeeper", resultRing, ring.Wait),
 		replies: map[uint64]chan Result{},
+		fleet:   fleetrows.NewReader(o.Platform),
 	}
 	if err := o.Metrics.WatchRing("poolkeeper", d.events.Stats); err != nil {
 		return nil, fmt.Errorf("poolkeeper: %w", err)
--- a/daemon/controller/poolkeeper/rows.go
+++ b/daemon/controller/poolkeeper/rows.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/carobwharf/carobwharf/lease"
+	"github.com/carobwharf/carobwharf/node/fleetrows"
 	"github.com/carobwharf/carobwharf/rollout"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
@@ -51,10 +52,20 @@
 	return l.ops, l.err
 }
 
+// marks returns the operations that announce the change to readers of the
+// fleet.
+func (c Change) marks() []store.Op {
+	vms := make([]string, len(c.Owners))
+	for i, o := range c.Owners {
+		vms[i] = o.VM
+	}
+	return store.MarkVMs(vms...)
+}
+
 // readRows reads what the machine decides on. The ownership rows come after
 // the absence rows; see the package comment. Rows that cannot be decoded are
 // left out and reported in bad.
-func readRows(ctx context.Context, t store.Table) (out Rows, bad []error, err error) {
+func readRows(ctx context.Context, t store.Table, fleet *fleetrows.Reader) (out Rows, bad []error, err error) {
 	for _, part := range []struct {
 		prefix string
 		decode func(store.Row) error
@@ -63,7 +74,6 @@
 		{store.PrefixMember, out.addMember},
 		{store.PrefixPlan, out.addPlan},
 		{store.PrefixPool, out.addAbsence},
-		{store.PrefixVM, out.addOwner},
 	} {
 		found, err := store.ScanAll(ctx, t, part.prefix)
 		if err != nil {
@@ -75,6 +85,14 @@
 			}
 		}
 	}
+	owners, skipped, changed, err := fleet.Read(ctx)
+	if err != nil {
+		return Rows{}, bad, fmt.Errorf("read ownership rows: %w", err)
+	}
+	if changed {
+		bad = append(bad, skipped...)
+	}
+	out.Owners = owners
 	return out, bad, nil
 }
 
@@ -118,12 +136,3 @@
 	r.Absences = append(r.Absences, AbsenceRow{Pool: pool, Version: row.Version, Absences: v.Absent})
 	return nil
 }
-
-func (r *Rows) addOwner(row store.Row) error {
-	v, err := rows.DecodeOwner(row.Value, row.Version)
-	if err != nil {
-		return err
-	}
-	r.Owners = append(r.Owners, v)
-	return nil
-}
--- a/peer/platform/client.go
+++ b/peer/platform/client.go
@@ -80,6 +80,17 @@
 	return vms, err
 }
 
+// ListVMsSince implements store.TaggedVMs.
+func (c *Client) ListVMsSince(ctx context.Context, known string) (vms []structs.VM, tag string, changed bool, err error) {
+	var list wire.VMList
+	err = c.do(ctx, &jsoncall.Call{
+		Method: fasthttp.MethodGet, Path: wire.PathVMs,
+		Args:   [3][2]string{{"known", known}},
+		Decode: func(body []byte) error { return json.Unmarshal(body, &list) },
+	})
+	return list.VMs, list.Tag, list.Changed, err
+}
+
 // RebootVM starts a reboot.
 func (c *Client) RebootVM(ctx context.Context, id string) error {
 	return c.do(ctx, &jsoncall.Call{
--- a/peer/platform/wire/wire.go
+++ b/peer/platform/wire/wire.go
@@ -7,6 +7,7 @@
 //	PUT  /objects?name=N  bytes               200
 //	GET  /objects?name=N                      200 bytes, 404
 //	GET  /vms                                 200 list of structs.VM
+//	GET  /vms?known=T                         200 VMList
 //	POST /vms/reboot?id=V                     200, 404
 //
 // Every call may be answered with 429 or 503: the platform did not take the
@@ -18,6 +19,7 @@
 	"fmt"
 
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
 )
 
 // Paths.
@@ -64,6 +66,14 @@
 	Versions []uint64 `json:"versions"` // one for each operation
 }
 
+// VMList is the VM list with a tag that changes with its content. VMs is empty
+// if the list still has the tag that the call named.
+type VMList struct {
+	Tag     string       `json:"tag"`
+	Changed bool         `json:"changed"`
+	VMs     []structs.VM `json:"vms,omitempty"`
+}
+
 // Problem is the body of an answer other than 200.
 type Problem struct {
 	Error string   `json:"error"`
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -100,6 +100,9 @@
 		if ctx.IsPost() {
 			return decodeVMs(ctx.PostBody())
 		}
+		if args.Has("known") {
+			return read, listVMsSince{string(args.Peek("known"))}, nil
+		}
 		return read, listVMs{}, nil
 	case wire.PathReboot:
 		return write, rebootVM{string(args.Peek("id"))}, nil
--- a/standin/platform/operations.go
+++ b/standin/platform/operations.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -87,6 +90,27 @@
 	return ok(s.fleet.list(s.now().Add(-time.Duration(s.faults.VMLag))))
 }
 
+// listVMsSince is listVMs for a reader that may have the list already.
+type listVMsSince struct{ known string }
+
+func (o listVMsSince) apply(s *state) reply {
+	vms := s.fleet.list(s.now().Add(-time.Duration(s.faults.VMLag)))
+	list := wire.VMList{Tag: tagOf(vms), Changed: true, VMs: vms}
+	if list.Tag == o.known {
+		list.Changed, list.VMs = false, nil
+	}
+	return ok(list)
+}
+
+// tagOf returns a hash of the list's content.
+func tagOf(vms []structs.VM) string {
+	h := fnv.New64a()
+	for _, vm := range vms {
+		fmt.Fprintf(h, "%v\n", vm)
+	}
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
 type rebootVM struct{ id string }
 
 func (o rebootVM) apply(s *state) reply {
--- a/store/keys.go
+++ b/store/keys.go
@@ -30,8 +30,9 @@
 // idempotency key.
 func KeyIntent(service, key string) string { return PrefixIntent + service + "/" + key }
 
-// KeyVM returns the key of a VM's ownership row.
-func KeyVM(id string) string { return PrefixVM + id }
+// KeyVM returns the key of a VM's ownership row. Rows are grouped by bucket, so
+// that a reader scans only the buckets that changed; see MarkVMs.
+func KeyVM(id string) string { return PrefixVM + VMBucket(id) + "/" + id }
 
 // KeyAbsence returns the key of a pool's absence row.
 func KeyAbsence(pool string) string { return PrefixPool + pool + "/absence" }
--- a/store/store.go
+++ b/store/store.go
@@ -94,6 +94,14 @@
 	RebootVM(ctx context.Context, id string) error
 }
 
+// TaggedVMs is implemented by platforms that can say that the list is still the
+// one that the reader has. A platform that can't is read in full each time.
+type TaggedVMs interface {
+	// ListVMsSince returns the list and its tag; changed is false, and the list
+	// empty, if the list still has the tag known.
+	ListVMsSince(ctx context.Context, known string) (vms []structs.VM, tag string, changed bool, err error)
+}
+
 // Platform is everything that the platform offers.
 type Platform interface {
 	Table
