--- a/daemon/controller/poolkeeper/duty.go
+++ b/daemon/controller/poolkeeper/duty.go
@@ -23,17 +23,16 @@
 
 // Options configures the duty.
 type Options struct {
-	Config      Config
-	Timeout     time.Duration // of one action; several calls to the platform
-	Workers     int           // actions at the same time
-	Platform    store.Platform
-	Gateways    Gateways
-	Controllers Controllers
-	Fleet       *ring.Ring[*structs.FleetView]  // KeepNewest, filled by the vmview duty
-	Members     *ring.Ring[*structs.MemberView] // KeepNewest, filled by the members duty
-	Configs     *ring.Ring[*structs.Config]     // KeepNewest, filled by the config duty
-	Log         hclog.Logger
-	Metrics     *metrics.Registry
+	Config   Config
+	Timeout  time.Duration // of one action; several calls to the platform
+	Workers  int           // actions at the same time
+	Platform store.Platform
+	Gateways Gateways
+	Fleet    *ring.Ring[*structs.FleetView]  // KeepNewest, filled by the vmview duty
+	Members  *ring.Ring[*structs.MemberView] // KeepNewest, filled by the members duty
+	Configs  *ring.Ring[*structs.Config]     // KeepNewest, filled by the config duty
+	Log      hclog.Logger
+	Metrics  *metrics.Registry
 }
 
 const (
--- a/daemon/controller/poolkeeper/duty_test.go
+++ b/daemon/controller/poolkeeper/duty_test.go
@@ -15,8 +15,6 @@
 	"github.com/carobwharf/carobwharf/internal/storetest"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/vmview"
-	"github.com/carobwharf/carobwharf/peer/controller"
-	"github.com/carobwharf/carobwharf/peer/link"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
@@ -38,26 +36,21 @@
 	}
 }
 
-// startKeepers runs pool keepers with their VM views on the fake platform, and
-// their drpc servers on loopback.
-func startKeepers(t *testing.T, f *storetest.Fake, set structs.ObjectSet, ids ...string) []*Duty {
+// startKeepers runs pool keepers with their VM views on the fake platform.
+func startKeepers(t *testing.T, f *storetest.Fake, set structs.ObjectSet, ids ...string) map[string]*Duty {
 	t.Helper()
 	view := &structs.MemberView{}
-	var servers []*link.Server
 	for _, id := range ids {
-		srv, err := link.Listen("127.0.0.1:0", hclog.NewNullLogger())
-		require.NoError(t, err)
-		servers = append(servers, srv)
-		view.Live = append(view.Live, structs.Member{ID: id, Role: structs.RoleController, Addr: srv.Addr()})
+		view.Live = append(view.Live, structs.Member{ID: id, Role: structs.RoleController})
 	}
-	var out []*Duty
-	for i, id := range ids {
-		out = append(out, startKeeper(t, f, set, id, servers[i], view))
+	out := map[string]*Duty{}
+	for _, id := range ids {
+		out[id] = startKeeper(t, f, set, id, view)
 	}
 	return out
 }
 
-func startKeeper(t *testing.T, f *storetest.Fake, set structs.ObjectSet, id string, srv *link.Server, view *structs.MemberView) *Duty {
+func startKeeper(t *testing.T, f *storetest.Fake, set structs.ObjectSet, id string, view *structs.MemberView) *Duty {
 	t.Helper()
 	log, reg := hclog.NewNullLogger(), metrics.New()
 	fleet := ring.New[*structs.FleetView]("fleet", 1, ring.KeepNewest)
@@ -66,14 +59,11 @@
 	ctx := context.Background()
 	require.NoError(t, members.Put(ctx, view))
 	require.NoError(t, configs.Put(ctx, &structs.Config{Generation: 1, Set: set}))
-	dialer := link.NewDialer(link.DialerOptions{Timeout: 10 * time.Second})
 	d, err := New(Options{
 		Config: testConfig(id), Timeout: time.Second, Workers: 8, Platform: f, Gateways: idleGateways{},
-		Controllers: controller.NewClient(dialer),
-		Fleet:       fleet, Members: members, Configs: configs, Log: log, Metrics: reg,
+		Fleet: fleet, Members: members, Configs: configs, Log: log, Metrics: reg,
 	})
 	require.NoError(t, err)
-	require.NoError(t, controller.Register(srv, Peer{ID: id, Duty: d}))
 	sup := duty.NewSupervisor()
 	views := vmview.New(vmview.Options{
 		Poll: 10 * time.Millisecond, Timeout: time.Second, Table: f, VMs: f,
@@ -81,13 +71,11 @@
 	})
 	sup.Add(duty.Duty{Name: "poolkeeper", Run: d.Run})
 	sup.Add(duty.Duty{Name: "vmview", Run: views.Run})
-	sup.Add(duty.Duty{Name: "peers", Run: srv.Run})
 	sup.Start(ctx)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
 		require.NoError(t, sup.Stop(ctx))
-		_ = dialer.Close()
 	})
 	return d
 }
@@ -136,8 +124,8 @@
 	require.Equal(t, map[int]int{0: 3, 1: 3, 2: 3}, perDC)
 }
 
-// An operator may use any controller: the order must reach the holder of the
-// pool's lease, and the same order sent twice must drain the VM once.
+// An operator may use any controller: one that does not hold the lease must
+// name the holder, and the same order sent twice must drain the VM once.
 func TestOrderReachesHolder(t *testing.T) {
 	f := storetest.New(1)
 	addVMs(f, 6)
@@ -148,15 +136,16 @@
 	require.Eventually(t, func() bool { return len(ownersIn(f)["a"]) == 3 }, 20*time.Second, 10*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
-	for i, o := range ownersIn(f)["a"] {
+	at := "c1"
+	for _, o := range ownersIn(f)["a"] {
 		order := Order{ID: o.VM, VM: o.VM, ToPool: "b", Reason: "test"}
-		var r Result
 		require.Eventually(t, func() bool { // leases may be on their way to another holder
-			var err error
-			r, err = keepers[i].Drain(ctx, order)
-			return err == nil && r.Accepted
-		}, 20*time.Second, 20*time.Millisecond, "%+v", &r)
-		require.Equal(t, uint64(2), r.Epoch)
+			r, err := keepers[at].Order(ctx, order)
+			if r.Holder != "" {
+				at = r.Holder
+			}
+			return err == nil && r.Accepted && r.Epoch == 2
+		}, 20*time.Second, 20*time.Millisecond)
 	}
-	require.Eventually(t, func() bool { return len(ownersIn(f)["b"]) >= 4 }, 20*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return len(ownersIn(f)["b"]) == 4 }, 20*time.Second, 10*time.Millisecond)
 }
--- a/daemon/controller/poolkeeper/events.go
+++ b/daemon/controller/poolkeeper/events.go
@@ -98,11 +98,10 @@
 
 // Result is the answer to an Order.
 type Result struct {
-	Accepted   bool
-	Epoch      uint64 // of the ownership row that drains the VM
-	Holder     string // who holds the lease of the VM's pool, if not this process
-	HolderAddr string // its IP:port for peers, if it is live
-	Refusal    string // why the order was not accepted
+	Accepted bool
+	Epoch    uint64 // of the ownership row that drains the VM
+	Holder   string // who holds the lease of the VM's pool, if not this process
+	Refusal  string // why the order was not accepted
 }
 
 // Action is an output of the Machine.
--- a/daemon/controller/poolkeeper/leases.go
+++ b/daemon/controller/poolkeeper/leases.go
@@ -1,8 +1,6 @@
 package poolkeeper
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/lease"
@@ -10,8 +8,13 @@
 
 // A holder that is not preferred gives its lease up after another live
 // process has been preferred for this many lease durations, so that a process
-// that comes and goes does not move the leases with it.
-const handOverAfter = 2
+// that comes and goes does not move the leases with it. The time doubles with
+// each lease that the preferred process did not take: it may be live for its
+// peers and yet not reach the platform.
+const (
+	handOverAfter = 2
+	maxDoublings  = 8
+)
 
 // holds reports whether the lease of the pool is held and valid.
 func (m *Machine) holds(now time.Time, pool string) bool {
@@ -28,13 +31,14 @@
 		return
 	}
 	l := m.lease(pool)
-	preferred := lease.Preferred(pool, slices.Collect(maps.Keys(m.controllers)))
+	preferred := lease.Preferred(pool, m.controllers)
 	l.notePreferred(now, preferred != "" && preferred != m.cfg.ID)
 	r := l.row.Record
 	switch {
 	case l.held.Valid(now):
-		if !l.otherSince.IsZero() && now.Sub(l.otherSince) > handOverAfter*m.cfg.LeaseDuration {
+		if !l.otherSince.IsZero() && now.Sub(l.otherSince) > handOverAfter*m.cfg.LeaseDuration<<min(l.offers, maxDoublings) {
 			l.held = lease.Held{} // not used from here on, whatever becomes of the write
+			l.offers++
 			m.writeLease(l, lease.Record{Token: r.Token, Duration: m.cfg.LeaseDuration}, "lease given up")
 		} else if l.held.RenewDue(now) {
 			m.writeLease(l, r.Renewed(m.cfg.LeaseDuration), "lease renewed")
--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -30,6 +30,7 @@
 	held  lease.Held
 	// since when another live process is preferred; zero if none is
 	otherSince time.Time
+	offers     int // times that the lease was given up and no other process took it
 }
 
 type memberState struct {
@@ -52,7 +53,7 @@
 	cfg         Config
 	set         *structs.ObjectSet
 	generation  uint64
-	controllers map[string]structs.Member // live in the member view
+	controllers []string                  // live in the member view
 	gateways    map[string]structs.Member // live in the member view
 
 	listed   map[string]structs.VM // live in the VM list
@@ -102,7 +103,7 @@
 // NewMachine returns a machine that knows nothing.
 func NewMachine(cfg Config) *Machine {
 	return &Machine{
-		cfg: cfg, controllers: map[string]structs.Member{}, gateways: map[string]structs.Member{},
+		cfg: cfg, gateways: map[string]structs.Member{},
 		listed: map[string]structs.VM{}, known: map[string]structs.VM{},
 		owners: map[string]ownerState{}, absences: map[string]AbsenceRow{}, leases: map[string]*leaseState{},
 		members: map[string]*memberState{}, plans: map[string]PlanRow{},
--- a/daemon/controller/poolkeeper/merge.go
+++ b/daemon/controller/poolkeeper/merge.go
@@ -24,12 +24,12 @@
 }
 
 func (m *Machine) seeMembers(v *structs.MemberView) {
-	clear(m.controllers)
+	m.controllers = m.controllers[:0]
 	clear(m.gateways)
 	for _, p := range v.Live {
 		switch p.Role {
 		case structs.RoleController:
-			m.controllers[p.ID] = p
+			m.controllers = append(m.controllers, p.ID)
 		case structs.RoleGateway:
 			m.gateways[p.ID] = p
 		}
@@ -91,6 +91,9 @@
 		if r.Record.Holder != m.cfg.ID {
 			l.held = lease.Held{}
 		}
+		if r.Record.Holder != m.cfg.ID && r.Record.Holder != "" {
+			l.offers = 0
+		}
 	}
 	l.watch.Observe(l.row.Version, now)
 }
@@ -159,6 +162,9 @@
 	l := m.lease(row.Pool)
 	l.held = lease.Held{}
 	if row.Record.Holder == m.cfg.ID {
+		if row.Record.Token != l.row.Record.Token {
+			l.otherSince = time.Time{}
+		}
 		l.held = lease.Acquired(row.Record, sent)
 	}
 	if row.Version > l.row.Version {
--- a/daemon/controller/poolkeeper/orders.go
+++ b/daemon/controller/poolkeeper/orders.go
@@ -87,7 +87,7 @@
 
 func (m *Machine) referral(pool string) Result {
 	if l := m.leases[pool]; l != nil && l.row.Record.Holder != "" && l.row.Record.Holder != m.cfg.ID {
-		return Result{Holder: l.row.Record.Holder, HolderAddr: m.controllers[l.row.Record.Holder].Addr}
+		return Result{Holder: l.row.Record.Holder}
 	}
 	return Result{Refusal: "no controller holds the lease of pool " + pool}
 }
--- a/daemon/controller/poolkeeper/pool.go
+++ b/daemon/controller/poolkeeper/pool.go
@@ -105,17 +105,15 @@
 	row := m.absences[pool]
 	row.Pool = pool
 	list := slices.Clone(row.Absences)
-	state := make(map[string]structs.OwnerState, len(owned))
 	for _, o := range owned {
-		state[o.VM] = o.State
 		if m.missing(o) && m.absenceOf(pool, o.VM) < 0 {
 			list = append(list, structs.Absence{VM: o.VM, Domain: m.domain(o.VM), Since: now})
 		}
 	}
 	list = slices.DeleteFunc(list, func(a structs.Absence) bool {
 		_, live := m.listed[a.VM]
-		s, ours := state[a.VM]
-		return !ours || (live && s == structs.OwnerActive)
+		o := m.owners[a.VM]
+		return o.Pool != pool || (live && o.State == structs.OwnerActive)
 	})
 	sortAbsences(list)
 	if slices.Equal(list, row.Absences) {
--- a/daemon/controller/poolkeeper/race_test.go
+++ b/daemon/controller/poolkeeper/race_test.go
@@ -180,3 +180,33 @@
 	change.Owners[0].Epoch = 2
 	require.False(t, d.perform(ctx, change).(Committed).Done)
 }
+
+// A holder that is paused beyond its lease must not undo what the next holder
+// did: its late transaction fails, and it begins nothing before it holds a
+// lease with a higher token.
+func TestFrozenHolderWakesUp(t *testing.T) {
+	s := newSim(3, 2, 2, testSet())
+	addVMs(s.f, 18)
+	begun := func() bool { return len(s.f.Reboots()) > 0 }
+	require.True(t, s.run(time.Minute, begun))
+	old, next := s.nodes[0], s.nodes[1]
+	if !old.m.holds(s.now, "a") {
+		old, next = next, old
+	}
+	token := old.m.leases["a"].held.Token
+	late := old.m.owners[s.owned("a")[0].VM].Owner // decided before the pause, sent after it
+	late.Epoch, late.State, late.Reason = late.Epoch+1, structs.OwnerDraining, "late"
+	old.frozen = s.now.Add(time.Hour)
+	s.after(59*time.Minute, func() {
+		s.whenAwake(old, func() { s.perform(old, Change{Slot: "late", Owners: []structs.Owner{late}}, s.now) })
+	})
+	require.True(t, s.run(55*time.Minute, func() bool { return !next.m.plans["kernel-a"].Progress.Finished.IsZero() }))
+	require.Greater(t, next.m.leases["a"].held.Token, token)
+	s.run(old.frozen.Sub(s.now)+10*time.Second, func() bool { return false })
+	require.False(t, s.now.Before(old.frozen))
+	for _, o := range s.owned("a") {
+		require.NotEqual(t, "late", o.Reason)
+	}
+	require.Empty(t, s.broken)
+	require.Equal(t, porcupine.Ok, porcupine.CheckOperationsTimeout(ownershipModel, s.history, time.Minute))
+}
--- a/node/members/calls.go
+++ b/node/members/calls.go
@@ -100,11 +100,20 @@
 		return nil, fmt.Errorf("read member rows: %w", err)
 	}
 	var out []structs.Member
+	own := false
 	for _, r := range found {
-		if m, err := rows.DecodeMember(r.Value); err == nil && m.ID != self.ID {
+		m, err := rows.DecodeMember(r.Value)
+		switch {
+		case err != nil:
+		case m.ID == self.ID:
+			own = true
+		default:
 			out = append(out, m)
 		}
 	}
+	if !own {
+		return nil, errors.New("the own member row was not written")
+	}
 	return out, nil
 }
 
--- a/node/members/events.go
+++ b/node/members/events.go
@@ -58,6 +58,10 @@
 		return
 	}
 	d.rows = e.members
+	if !d.registered {
+		d.registered = true
+		close(d.written)
+	}
 }
 
 // configured says which configuration is in force in this process.
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -55,22 +55,25 @@
 
 // Duty is the membership duty.
 type Duty struct {
-	opts    Options
-	events  *ring.Ring[event]
-	pool    pond.Pool
-	view    *membership.View
-	rng     *rand.Rand
-	rows    []structs.Member // other processes' rows, as last read
-	shown   uint64           // version of the view that was published last
-	rowBusy bool             // a row call is running
+	opts       Options
+	events     *ring.Ring[event]
+	pool       pond.Pool
+	view       *membership.View
+	rng        *rand.Rand
+	rows       []structs.Member // other processes' rows, as last read
+	shown      uint64           // version of the view that was published last
+	rowBusy    bool             // a row call is running
+	registered bool             // the own row was written
+	written    chan struct{}    // closed when the own row was written for the first time
 }
 
 // New returns the duty; Run starts it.
 func New(o Options) (*Duty, error) {
 	d := &Duty{
-		opts:   o,
-		events: ring.New[event]("members", eventRing, ring.Wait),
-		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		opts:    o,
+		written: make(chan struct{}),
+		events:  ring.New[event]("members", eventRing, ring.Wait),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if err := o.Metrics.WatchRing("members", d.events.Stats); err != nil {
 		return nil, fmt.Errorf("members: %w", err)
@@ -78,6 +81,10 @@
 	return d, nil
 }
 
+// Registered returns a channel that is closed when the own row was written for
+// the first time.
+func (d *Duty) Registered() <-chan struct{} { return d.written }
+
 // Run runs the duty until ctx ends, and then tells some peers that this
 // process has left and removes its row.
 func (d *Duty) Run(ctx context.Context) error {
@@ -130,7 +137,7 @@
 	for _, addr := range d.strangers(max(1, d.opts.Membership.Fanout-len(targets))) {
 		d.send(ctx, addr, "")
 	}
-	if len(d.rows) == 0 && len(targets) == 0 {
+	if !d.registered || (len(d.rows) == 0 && len(targets) == 0) {
 		d.exchangeRows(ctx)
 	}
 	d.opts.Metrics.Gauge("members.live").Update(int64(len(d.view.Live())))
--- a/node/members/members_test.go
+++ b/node/members/members_test.go
@@ -130,3 +130,20 @@
 		t.Fatal("no news of generation 7")
 	}
 }
+
+// Registered must not be reported before the row is in the table: a gateway
+// begins to use VMs when it is.
+func TestRegisteredFollowsRow(t *testing.T) {
+	f := storetest.New(1)
+	f.SetFaults(storetest.Faults{Outage: true})
+	p := startProcess(t, "a", f, nil, 0)
+	time.Sleep(50 * time.Millisecond) // some rounds
+	select {
+	case <-p.duty.Registered():
+		t.Fatal("registered during an outage")
+	default:
+	}
+	f.SetFaults(storetest.Faults{})
+	<-p.duty.Registered()
+	require.Len(t, f.Rows(store.PrefixMember), 1)
+}
--- a/node/vmview/vmview.go
+++ b/node/vmview/vmview.go
@@ -21,6 +21,11 @@
 
 // Options configures the duty.
 type Options struct {
+	// The first reading waits for After, if it is given. A gateway gives the
+	// channel that says that its member row is written: a controller that
+	// drains a VM waits for the gateways that have a row, so a gateway must
+	// have one before it can learn that the VM is active.
+	After       <-chan struct{}
 	Poll        time.Duration // interval of reading
 	Timeout     time.Duration // of one reading
 	Table       store.Table
@@ -42,6 +47,13 @@
 
 // Run reads until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
+	if d.opts.After != nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.opts.After:
+		}
+	}
 	tick := time.NewTicker(d.opts.Poll)
 	defer tick.Stop()
 	for {
--- a/node/vmview/vmview_test.go
+++ b/node/vmview/vmview_test.go
@@ -52,3 +52,20 @@
 	d.read(ctx)
 	require.Equal(t, uint64(2), (<-out.C()).Version)
 }
+
+// A gateway must not learn of a VM before its own member row is written, or a
+// drain of that VM does not wait for it.
+func TestFirstReadingWaits(t *testing.T) {
+	d, out := newDuty(storetest.New(1))
+	registered := make(chan struct{})
+	d.opts.After = registered
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	time.Sleep(20 * time.Millisecond) // 20 polls
+	require.Zero(t, out.Stats().Accepted)
+	close(registered)
+	<-out.C()
+	cancel()
+	require.NoError(t, <-done)
+}
