--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -67,22 +67,32 @@
 }
 
 func newRig(t *testing.T, vms int) *rig {
-	r := &rig{t: t, store: memstore.New(), endpoints: &fakeEndpoints{}, sup: duty.NewSupervisor()}
-	r.in = Inputs{
-		Configs: ring.New[*structs.Config]("configs", 1, ring.KeepNewest),
-		Fleets:  ring.New[*structs.FleetView]("fleets", 1, ring.KeepNewest),
-		Members: ring.New[*structs.MemberView]("members", 1, ring.KeepNewest),
-	}
-	ctx := context.Background()
+	r := &rig{t: t, store: memstore.New()}
 	for i := range vms {
 		id := fmt.Sprintf("vm%d", i)
-		v, err := r.store.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: store.KeyVM(id), Value: []byte("{}")}})
+		v, err := r.store.Commit(context.Background(), []store.Op{
+			{Kind: store.OpInsert, Key: store.KeyVM(id), Value: []byte("{}")},
+		})
 		require.NoError(t, err)
 		r.fleet.VMs = append(r.fleet.VMs, structs.VM{ID: id, State: structs.VMLive, Slots: 8})
 		r.fleet.Owners = append(r.fleet.Owners, structs.Owner{
 			VM: id, Pool: "counter", State: structs.OwnerActive, Epoch: 1, Version: v[0],
 		})
 	}
+	r.start()
+	return r
+}
+
+// start runs a gateway at the rig's platform.
+func (r *rig) start() {
+	t := r.t
+	r.endpoints, r.sup = &fakeEndpoints{}, duty.NewSupervisor()
+	r.in = Inputs{
+		Configs: ring.New[*structs.Config]("configs", 1, ring.KeepNewest),
+		Fleets:  ring.New[*structs.FleetView]("fleets", 1, ring.KeepNewest),
+		Members: ring.New[*structs.MemberView]("members", 1, ring.KeepNewest),
+	}
+	ctx := context.Background()
 	p := settings.DefaultProcess()
 	p.ID = "gateway-1"
 	p.Gateway.DrainTimeout = 500 * time.Millisecond
@@ -97,13 +107,17 @@
 	r.sup.Start(ctx)
 	t.Cleanup(func() { require.NoError(t, r.sup.Stop(ctx)) })
 	require.Eventually(t, r.Ready, time.Second, time.Millisecond)
-	return r
 }
 
 func (r *rig) send(op, key, body string) chan structs.Answer {
+	return r.sendWithin(2*time.Second, op, key, body, "id-"+body)
+}
+
+func (r *rig) sendWithin(d time.Duration, op, key, body, id string) chan structs.Answer {
 	reply := make(chan structs.Answer, 1)
 	require.NoError(r.t, r.Submit(&structs.Request{
-		ID: "id-" + body, Service: "grant", Operation: op, Key: key, Body: []byte(body), Arrived: time.Now(),
+		ID: id, Service: "grant", Operation: op, Key: key, Body: []byte(body), Arrived: time.Now(),
+		Deadline: time.Now().Add(d),
 	}, reply))
 	return reply
 }
@@ -132,3 +146,90 @@
 	require.Equal(t, "ONCE", string(a.Body))
 	require.Equal(t, int64(2), r.endpoints.runs.Load())
 }
+
+// Guards against idempotent work that stops with the platform, and against a
+// non-idempotent request that is sent without a record.
+func TestPlatformDown(t *testing.T) {
+	r := newRig(t, 1)
+	r.store.SetFault(func(memstore.Call) memstore.Fault { return memstore.Down })
+	pay := r.sendWithin(200*time.Millisecond, "pay", "k", "pay", "p")
+	require.Equal(t, structs.OutcomeDone, (<-r.send("check", "", "check")).Outcome)
+	a := <-pay
+	require.Equal(t, structs.OutcomeNotRun, a.Outcome)
+	require.Equal(t, structs.ReasonPlatformDown, a.Reason)
+	require.Positive(t, a.RetryAfter)
+	require.Equal(t, int64(1), r.endpoints.runs.Load())
+}
+
+// blocked makes the endpoints wait for the returned function.
+func (r *rig) blocked() (release func()) {
+	ch := make(chan struct{})
+	r.endpoints.answer = func(_ context.Context, req *structs.Request, vm structs.VM, attempt int) structs.EndpointResult {
+		<-ch
+		return answered(req, vm, attempt)
+	}
+	return func() { close(ch) }
+}
+
+// Guards against a drain that is confirmed while requests are in flight, and
+// against new work for a drained VM.
+func TestDrainVM(t *testing.T) {
+	r := newRig(t, 1)
+	release := r.blocked()
+	first := r.send("check", "", "first")
+	require.Eventually(t, func() bool { return r.endpoints.runs.Load() == 1 }, time.Second, time.Millisecond)
+	n, err := r.DrainVM(context.Background(), "vm0", 1)
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	second := r.sendWithin(100*time.Millisecond, "check", "", "second", "s")
+	release()
+	require.Equal(t, structs.OutcomeDone, (<-first).Outcome)
+	n, err = r.DrainVM(context.Background(), "vm0", 1)
+	require.NoError(t, err)
+	require.Zero(t, n)
+	require.Equal(t, structs.ReasonNoEndpoint, (<-second).Reason)
+}
+
+// Guards against a graceful stop that cuts off requests, takes new ones, or
+// never ends.
+func TestDrain(t *testing.T) {
+	for _, inTime := range []bool{true, false} {
+		r := newRig(t, 1)
+		release := r.blocked()
+		first := r.send("check", "", "first")
+		require.Eventually(t, func() bool { return r.endpoints.runs.Load() == 1 }, time.Second, time.Millisecond)
+		done := make(chan error, 1)
+		go func() { done <- r.Drain(context.Background()) }()
+		require.Eventually(t, func() bool { return !r.Ready() }, time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return (<-r.send("check", "", "x")).Reason == structs.ReasonDraining }, time.Second, time.Millisecond)
+		if inTime {
+			release()
+			require.Equal(t, structs.OutcomeDone, (<-first).Outcome)
+			require.NoError(t, <-done)
+			continue
+		}
+		require.Error(t, <-done)
+		require.Equal(t, structs.OutcomeUnknown, (<-first).Outcome)
+		release()
+	}
+}
+
+// Guards against an answer that reaches the caller of another request, and
+// against a panic in a call that leaves its caller without an answer.
+func TestForeignAnswersAndPanics(t *testing.T) {
+	r := newRig(t, 1)
+	r.endpoints.answer = func(_ context.Context, req *structs.Request, vm structs.VM, attempt int) structs.EndpointResult {
+		if string(req.Body) == "panic" {
+			panic("broken call")
+		}
+		res := answered(req, vm, attempt)
+		res.RequestID = "another"
+		return res
+	}
+	for _, body := range []string{"foreign", "panic"} {
+		a := <-r.sendWithin(100*time.Millisecond, "pay", body, body, body)
+		require.Equal(t, structs.OutcomeUnknown, a.Outcome, body)
+		require.Equal(t, body, a.RequestID)
+		require.Equal(t, intent.Started, r.record(body).State)
+	}
+}
