--- a/admission/admission.go
+++ b/admission/admission.go
@@ -10,13 +10,14 @@
 
 // Options tunes a Scheduler. The zero value of a field selects its default.
 type Options struct {
-	// ReserveFraction is the part of a pool's capacity, at least one slot, that
-	// services beyond their share leave free while another service does not use
-	// its own. It applies only to services whose requests hold slots so long
-	// that a returning service would wait more than ReserveWait for the next
-	// slot. Default 0.05, since total goodput must stay at 95% of capacity.
-	ReserveFraction float64
-	// ReserveWait is the tolerated mean wait for the next slot. Default 50 ms.
+	// Reserve times the square root of a pool's capacity is the number of
+	// slots, at least one, that services beyond their share leave free for
+	// bursts of the others: bursts grow with the square root of the load. It
+	// applies only to services whose requests hold slots so long that a
+	// returning service would wait more than ReserveWait for the next slot.
+	// Default 0.5; see BenchmarkFlood for what it costs.
+	Reserve float64
+	// ReserveWait is the tolerated mean wait for the next slot. Default 5 ms.
 	ReserveWait time.Duration
 	// TeamFactor bounds the requests of one team in a service's queue at this
 	// multiple of the queue's free room, while several teams use the service.
@@ -25,11 +26,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.ReserveFraction == 0 {
-		o.ReserveFraction = 0.05
+	if o.Reserve == 0 {
+		o.Reserve = 0.5
 	}
 	if o.ReserveWait == 0 {
-		o.ReserveWait = 50 * time.Millisecond
+		o.ReserveWait = 5 * time.Millisecond
 	}
 	if o.TeamFactor == 0 {
 		o.TeamFactor = 4
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -66,10 +66,10 @@
 	require.Equal(t, []int{5, 5}, []int{a, b})
 }
 
-// Requests that hold slots for long must leave a slot for a service that
+// Requests that hold slots for long must leave slots for a service that
 // returns; short ones need not, since a slot is free soon anyway.
 func TestLongRequestsLeaveAReserve(t *testing.T) {
-	for hold, want := range map[time.Duration]int{10 * time.Millisecond: 10, 10 * time.Second: 9} {
+	for hold, want := range map[time.Duration]int{10 * time.Millisecond: 10, 10 * time.Second: 8} {
 		s := newScheduler()
 		fill(t, s, 100, 0, 0)
 		for range 20 {
--- a/admission/next.go
+++ b/admission/next.go
@@ -33,7 +33,8 @@
 	t := q.head
 	e := &s.entries[t]
 	g := Grant{Ticket: t, Handle: e.handle, Service: svc}
-	if !now.Before(e.deadline) {
+	if late := seconds(v.expectedHold()); now.Add(late).After(e.deadline) {
+		// A slot would be spent on an answer that comes too late.
 		s.unlink(t)
 		s.free(t)
 		g.Ticket, g.Expired = NoTicket, true
@@ -63,10 +64,11 @@
 	v.fix(s, int(q.heapAt))
 }
 
-// choose returns the service with the lowest ratio of requests in flight to
-// guaranteed slots among those that have a request to run and may take a slot.
+// choose returns the service that runs next, or -1. Services within their
+// share come first, then those that may borrow; within each group, the one
+// with the lowest ratio of requests in flight to guaranteed slots.
 func (s *Scheduler) choose(p, free int) int {
-	best, bestRatio := -1, math.Inf(1)
+	best, bestRank, bestOwn := -1, 0.0, false
 	if free <= 0 {
 		return best
 	}
@@ -75,21 +77,20 @@
 		if len(v.heap) == 0 || s.atQuota(v) {
 			continue
 		}
-		ratio := float64(v.inFlight) / s.guaranteed(v, p)
-		if ratio < bestRatio && s.mayTake(v, p, free, ratio) {
-			best, bestRatio = int(i), ratio
+		rank := float64(v.inFlight) / s.guaranteed(v, p)
+		own := s.withinShare(v, p)
+		better := best < 0 || (own && !bestOwn) || (own == bestOwn && rank < bestRank)
+		if better && (own || free > s.reserve(p, v)) {
+			best, bestRank, bestOwn = int(i), rank, own
 		}
 	}
 	return best
 }
 
-// mayTake reports whether a service may take one of the free slots: within its
-// share any, beyond it those above the reserve.
-func (s *Scheduler) mayTake(v *service, p, free int, ratio float64) bool {
-	if ratio < 1 && v.spec.Share > 0 {
-		return true
-	}
-	return free > s.reserve(p, v)
+// withinShare reports whether one more request stays within the service's
+// share, rounded to whole slots and at least one.
+func (s *Scheduler) withinShare(v *service, p int) bool {
+	return v.spec.Share > 0 && float64(v.inFlight)+1 <= max(1, math.Round(s.guaranteed(v, p)))
 }
 
 // atQuota parks team queues at the top of the heap whose team reached its
@@ -116,15 +117,24 @@
 	if capacity == 0 || borrower.hold/capacity <= s.opts.ReserveWait.Seconds() {
 		return 0
 	}
-	unused := 0.0
+	guaranteed := 0.0 // of the others
 	for _, i := range s.pools[p].services {
 		v := &s.services[i]
 		if v != borrower && v.live {
-			unused += max(0, v.spec.Share*capacity-float64(v.inFlight))
+			guaranteed += v.spec.Share * capacity
 		}
 	}
-	reserve := max(1, math.Round(s.opts.ReserveFraction*capacity))
-	return int(min(reserve, math.Ceil(unused)))
+	reserve := max(1, math.Round(s.opts.Reserve*math.Sqrt(capacity)))
+	return int(min(reserve, math.Ceil(guaranteed)))
+}
+
+// expectedHold returns the mean time in seconds that a request holds a slot,
+// or 0 while it is not known.
+func (v *service) expectedHold() float64 {
+	if v.holds < minHolds {
+		return 0
+	}
+	return v.hold
 }
 
 // Done ends a running request and records how long it held its slot.
