Keep own tombstones, probe pools without idempotent work, export counters

Cause, found by review: (1) at an aborted stop a claim may still be on its way when its owner writes a tombstone; the claim then took the tombstone over and left a started record for a request that never runs. (2) In a pool without idempotent operations an ejected endpoint was never probed. (3) The reason team-quota was never given. (4) The counters were looked up by name for each event. Ruled out: returning ejected endpoints after a time without a probe, because a dead endpoint would then cost more than one request.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -226,6 +226,9 @@
 // index of the empty name.
 func (s *Scheduler) Team(name string) int { return s.byTeam[name] }
 
+// AtQuota reports whether a team uses all of its slots.
+func (s *Scheduler) AtQuota(team int) bool { return s.teams[team].full() }
+
 // SetCapacity sets the number of requests that a pool takes from this gateway.
 func (s *Scheduler) SetCapacity(p, slots int) {
 	for len(s.pools) <= p {
--- a/daemon/gateway/dispatcher.go
+++ b/daemon/gateway/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/carobwharf/carobwharf/daemon/gateway/dispatcher"
 	"github.com/carobwharf/carobwharf/daemon/gateway/journal"
@@ -72,6 +73,21 @@
 	stoppers  []chan reply
 	abortAt   time.Time
 	published dispatcher.Counters
+	counters  counters
+	inputs    int // bit set of the inputs that have arrived
+}
+
+// counters are the dispatcher's metrics.
+type counters struct {
+	arrived, answered, refused, retries, late, probes, granted, replayed gometrics.Counter
+}
+
+func newCounters(reg *metrics.Registry) counters {
+	c := func(name string) gometrics.Counter { return reg.Counter("dispatcher." + name) }
+	return counters{
+		arrived: c("arrived"), answered: c("answered"), refused: c("refused"), retries: c("retries"),
+		late: c("late"), probes: c("probes"), granted: c("granted"), replayed: c("replayed"),
+	}
 }
 
 func newDispatcherDuty(
@@ -85,6 +101,7 @@
 		questions: ring.New[question]("dispatcher.questions", 64, ring.Wait),
 		callers:   map[uint64]chan structs.Answer{},
 		askers:    map[uint64]chan reply{},
+		counters:  newCounters(reg),
 		machine: dispatcher.New(dispatcher.Options{
 			Process:         p.ID,
 			TokenPrefix:     uuid.NewString(),
@@ -121,12 +138,14 @@
 		case ev := <-d.results.C():
 			d.step(ev)
 		case c := <-d.in.Configs.C():
-			d.ready.Store(true)
 			d.step(dispatcher.Event{Kind: dispatcher.NewConfig, Config: c})
+			d.noteInput(1)
 		case v := <-d.in.Fleets.C():
 			d.step(dispatcher.Event{Kind: dispatcher.NewFleet, Fleet: v})
+			d.noteInput(2)
 		case v := <-d.in.Members.C():
 			d.step(dispatcher.Event{Kind: dispatcher.NewMembers, Members: v})
+			d.noteInput(4)
 		case q := <-d.questions.C():
 			d.answerQuestion(q)
 		case <-timer.C:
@@ -137,6 +156,15 @@
 	}
 }
 
+// noteInput makes the gateway ready once it has a configuration, a view of the
+// fleet and a view of the members.
+func (d *dispatcherDuty) noteInput(bit int) {
+	d.inputs |= bit
+	if d.inputs == 7 {
+		d.ready.Store(true)
+	}
+}
+
 // stop answers what is left. Results of calls that are still running are
 // dropped: the process ends.
 func (d *dispatcherDuty) stop(cancel context.CancelFunc) {
@@ -200,12 +228,12 @@
 		return
 	}
 	d.published = now
-	for name, n := range map[string]int64{
-		"arrived": now.Arrived - was.Arrived, "answered": now.Answered - was.Answered,
-		"refused": now.Refused - was.Refused, "retries": now.Retries - was.Retries,
-		"late": now.Late - was.Late, "probes": now.Probes - was.Probes,
-		"granted": now.Granted - was.Granted, "replayed": now.Replayed - was.Replayed,
-	} {
-		d.metrics.Counter("dispatcher." + name).Inc(n)
-	}
+	d.counters.arrived.Inc(now.Arrived - was.Arrived)
+	d.counters.answered.Inc(now.Answered - was.Answered)
+	d.counters.refused.Inc(now.Refused - was.Refused)
+	d.counters.retries.Inc(now.Retries - was.Retries)
+	d.counters.late.Inc(now.Late - was.Late)
+	d.counters.probes.Inc(now.Probes - was.Probes)
+	d.counters.granted.Inc(now.Granted - was.Granted)
+	d.counters.replayed.Inc(now.Replayed - was.Replayed)
 }
--- a/daemon/gateway/dispatcher/arrive.go
+++ b/daemon/gateway/dispatcher/arrive.go
@@ -32,7 +32,8 @@
 	if team == "" {
 		team = state.spec.Team
 	}
-	ticket, verdict := m.queue.Offer(now, uint64(m.handleOf(r)), svc, m.queue.Team(team), deadline)
+	r.team = m.queue.Team(team)
+	ticket, verdict := m.queue.Offer(now, uint64(m.handleOf(r)), svc, r.team, deadline)
 	if verdict != admission.Queued {
 		m.release(r)
 		state.demand.Refused++
@@ -156,6 +157,8 @@
 		return r.reason
 	case m.endpoints.Capacity(m.services[r.service].pool) == 0:
 		return structs.ReasonNoEndpoint
+	case m.queue.AtQuota(r.team):
+		return structs.ReasonQuota
 	}
 	return structs.ReasonTooLate
 }
--- a/daemon/gateway/dispatcher/machine.go
+++ b/daemon/gateway/dispatcher/machine.go
@@ -67,6 +67,7 @@
 	ref      uint64
 	req      *structs.Request
 	service  int
+	team     int
 	ticket   admission.Ticket
 	endpoint dispatch.Endpoint
 	avoid    dispatch.Endpoint
@@ -115,6 +116,7 @@
 	fleet     *structs.FleetView
 	members   *structs.MemberView
 	pump      []bool // pools to look at
+	onceOnly  []bool // pools without idempotent work
 	calls     int
 	owners    uint64
 	live      int
--- a/daemon/gateway/dispatcher/pump.go
+++ b/daemon/gateway/dispatcher/pump.go
@@ -55,7 +55,7 @@
 		m.giveUp(r, m.waitReason(r))
 		return true
 	}
-	e, probe := m.endpoints.Pick(now, dispatch.Choice{Pool: p, Avoid: r.avoid, Probe: !r.once})
+	e, probe := m.endpoints.Pick(now, dispatch.Choice{Pool: p, Avoid: r.avoid, Probe: !r.once || m.onceOnly[p]})
 	if e == dispatch.None {
 		m.queue.Pause(r.ticket)
 		m.queue.Resume(r.ticket)
--- a/daemon/gateway/dispatcher/view.go
+++ b/daemon/gateway/dispatcher/view.go
@@ -43,6 +43,9 @@
 	for len(m.pump) < m.endpoints.Pools() {
 		m.pump = append(m.pump, true)
 	}
+	for len(m.onceOnly) < m.endpoints.Pools() {
+		m.onceOnly = append(m.onceOnly, true)
+	}
 	m.pumpAll()
 }
 
@@ -58,6 +61,7 @@
 		pool := m.endpoints.EnsurePool(s.Pool)
 		specs = append(specs, admission.ServiceSpec{Name: s.Name, Pool: int(pool), Share: s.Share, Queue: bound})
 	}
+	m.findOnceOnly()
 	teams := make([]admission.TeamSpec, 0, len(set.Teams))
 	for _, t := range set.Teams {
 		teams = append(teams, admission.TeamSpec{Name: t.Name, Weight: t.Weight, Slots: part(t.Slots, rank, count)})
@@ -68,6 +72,22 @@
 	}
 }
 
+// findOnceOnly notes the pools in which no service has idempotent operations.
+// There an ejected endpoint can only be probed with non-idempotent work, or it
+// would never return.
+func (m *Machine) findOnceOnly() {
+	m.onceOnly = make([]bool, m.endpoints.Pools())
+	for i := range m.onceOnly {
+		m.onceOnly[i] = true
+	}
+	for i := range m.config.Set.Services {
+		s := &m.config.Set.Services[i]
+		if len(s.Idempotent) > 0 {
+			m.onceOnly[m.endpoints.EnsurePool(s.Pool)] = false
+		}
+	}
+}
+
 // part divides a team's quota among the gateways. Each gets at least one slot,
 // so that a caller is not refused because of the gateway that it reached.
 func part(slots, rank, count int) int {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/carobwharf/carobwharf/daemon/gateway/journal"
 	"github.com/carobwharf/carobwharf/duty"
@@ -67,6 +68,7 @@
 		Ring:     p.Gateway.EventRing,
 		Reply:    func(r journal.Reply) { g.dispatcher.journalReplied(r) },
 		Log:      logging.For(log, "journal"),
+		Count:    journalCounters(reg),
 	})
 	g.dispatcher = newDispatcherDuty(p, endpoints, in, g.journal.Requests(), logging.For(log, "dispatcher"), reg)
 	for _, stats := range append(g.journal.Rings(), g.dispatcher.rings()...) {
@@ -77,6 +79,20 @@
 	return g, nil
 }
 
+func journalCounters(reg *metrics.Registry) func(journal.Counters) {
+	c := func(name string) gometrics.Counter { return reg.Counter("journal." + name) }
+	commits, rows, conflicts := c("commits"), c("rows"), c("conflicts")
+	unknown, unavailable, dropped := c("unknown"), c("unavailable"), c("dropped")
+	return func(n journal.Counters) {
+		commits.Inc(n.Commits)
+		rows.Inc(n.Rows)
+		conflicts.Inc(n.Conflicts)
+		unknown.Inc(n.Unknown)
+		unavailable.Inc(n.Unavailable)
+		dropped.Inc(n.Dropped)
+	}
+}
+
 // Bounds of what the journal keeps while the platform is down, and of the time
 // that it has to store answers after a stop.
 const (
--- a/daemon/gateway/journal/journal.go
+++ b/daemon/gateway/journal/journal.go
@@ -28,6 +28,8 @@
 	// Reply takes each reply. It may wait, but must not depend on the journal.
 	Reply func(Reply)
 	Log   hclog.Logger
+	// Count takes the increase of the counters; nil if they are not exported.
+	Count func(Counters)
 }
 
 // Journal is the duty that owns a Machine.
@@ -37,6 +39,7 @@
 	results  *ring.Ring[Result]
 	pool     pond.Pool
 	machine  *Machine
+	counted  Counters
 }
 
 // New returns a journal; Run starts it.
@@ -107,6 +110,10 @@
 	for _, r := range j.machine.Replies() {
 		j.cfg.Reply(r)
 	}
+	if now := j.machine.Totals(); j.cfg.Count != nil && now != j.counted {
+		j.cfg.Count(now.minus(j.counted))
+		j.counted = now
+	}
 }
 
 func (j *Journal) flush(timer *time.Timer) error {
--- a/daemon/gateway/journal/machine.go
+++ b/daemon/gateway/journal/machine.go
@@ -81,6 +81,13 @@
 	Commits, Rows, Conflicts, Unknown, Unavailable, Dropped int64
 }
 
+func (c Counters) minus(o Counters) Counters {
+	return Counters{
+		Commits: c.Commits - o.Commits, Rows: c.Rows - o.Rows, Conflicts: c.Conflicts - o.Conflicts,
+		Unknown: c.Unknown - o.Unknown, Unavailable: c.Unavailable - o.Unavailable, Dropped: c.Dropped - o.Dropped,
+	}
+}
+
 // NewMachine returns an empty machine.
 func NewMachine(o Options) *Machine { return &Machine{opts: o} }
 
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -78,7 +78,7 @@
 	TakeOver                   // abandoned, or of an earlier attempt of the owner: update it, conditional on the version
 	Replay                     // give the stored answer
 	KeyReused                  // the key was used for another request: refuse
-	InProgress                 // another attempt was started: its result is unknown
+	InProgress                 // another attempt was started, or the owner gave up: do not send
 )
 
 // Resolve decides about a claim. existing is nil if there is no record. A
@@ -89,6 +89,8 @@
 	switch {
 	case existing == nil:
 		return Insert
+	case existing.State == Abandoned && existing.Owner == c.Owner:
+		return InProgress // the owner gave up while this claim was on its way
 	case existing.State == Abandoned:
 		return TakeOver
 	case existing.State == Started && existing.Token == c.Token:
