Run jobs on the workers of the pools whose lease is held

Cause: package placement decided where jobs run, but no duty carried the decisions out, and teams could not submit jobs. Design: the row job/<id> is the truth. The machine keeps the row as last known and the row it wants, and writes the difference under the condition that the row has not changed. A worker is called only for the run that the row names. Tokens have the pool's lease token in their upper half, so those of a later holder are always greater. Ruled out: a lease of its own for jobs, since the pool keeper holds one for each pool already; its validity is counted from the start of the last reading that showed an older version of the lease row. Ruled out as well: corrections below the declared size, because a worker reserves what the task declares and would refuse the rest as lack of room.

--- a/daemon/controller/controller.go
+++ b/daemon/controller/controller.go
@@ -53,6 +53,7 @@
 	Fleet       func() *structs.FleetView     // may return nil
 	Members     func() *structs.MemberView    // may return nil
 	Drainer     Drainer
+	Jobs        operator.JobHandler
 }
 
 // Controller is a controller process without its main function.
@@ -120,7 +121,7 @@
 	c.operators, err = operator.NewServer(operator.Options{
 		Addr: c.opts.Settings.Controller.OperatorListen, Key: c.opts.Settings.Controller.OperatorKey,
 		Timeout: submissionCalls*c.opts.Settings.Platform.Timeout + replyMargin,
-		Handler: operators{c},
+		Handler: operators{c}, Jobs: c.opts.Jobs,
 	})
 	if err != nil {
 		c.admin.Close()
--- /dev/null
+++ b/daemon/controller/jobs/calls.go
@@ -0,0 +1,216 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/carobwharf/carobwharf/daemon/controller/jobs/machine"
+	"github.com/carobwharf/carobwharf/rows"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Runs of a usage report are read in pages of this many.
+const usagePage = 1000
+
+// A reading of all rows may take this many call timeouts.
+const scanCalls = 5
+
+// perform carries out one action that blocks, and returns its result.
+func (d *Duty) perform(ctx context.Context, a machine.Action) machine.Event {
+	timeout := d.opts.Timeout
+	switch a.(type) {
+	case machine.Scan, machine.ReadUsage:
+		timeout *= scanCalls
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	switch a := a.(type) {
+	case machine.Scan:
+		return d.scan(ctx)
+	case machine.ReadJob:
+		return d.readJob(ctx, a.ID)
+	case machine.Write:
+		return d.write(ctx, a.Job)
+	case machine.ReadUsage:
+		return d.usage(ctx)
+	case machine.Call:
+		return d.call(ctx, a)
+	}
+	panic(fmt.Sprintf("jobs: action %T", a))
+}
+
+// refused returns the result of an action that was not made.
+func refused(a machine.Action) machine.Event {
+	switch a := a.(type) {
+	case machine.ReadJob:
+		return machine.Read{ID: a.ID, Failed: true}
+	case machine.Write:
+		return machine.Written{Job: a.Job, Outcome: machine.NotMade}
+	case machine.ReadUsage:
+		return machine.UsageSeen{Failed: true}
+	case machine.Call:
+		return machine.Called{Call: a, Outcome: machine.NotMade}
+	}
+	return machine.Scanned{Failed: true}
+}
+
+func (d *Duty) scan(ctx context.Context) machine.Scanned {
+	out := machine.Scanned{Started: time.Now()}
+	leases, err := store.ScanAll(ctx, d.opts.Table, store.PrefixLease)
+	var found []store.Row
+	if err == nil {
+		found, err = store.ScanAll(ctx, d.opts.Table, store.PrefixJob)
+	}
+	if err != nil {
+		d.opts.Metrics.Counter("jobs.scan_failed").Inc(1)
+		d.opts.Log.Warn("platform not read", "error", err)
+		return machine.Scanned{Failed: true}
+	}
+	for _, r := range leases {
+		l, err := rows.DecodeLease(r.Value)
+		if err != nil {
+			d.opts.Log.Error("row skipped", "key", r.Key, "error", err)
+			continue
+		}
+		out.Leases = append(out.Leases, machine.LeaseRow{
+			Pool: strings.TrimPrefix(r.Key, store.PrefixLease), Version: r.Version,
+			Holder: l.Holder, Token: l.Token, Duration: l.Duration,
+		})
+	}
+	for _, r := range found {
+		j, err := rows.DecodeJob(r.Value, r.Version)
+		if err != nil {
+			d.opts.Log.Error("row skipped", "key", r.Key, "error", err)
+			continue
+		}
+		out.Jobs = append(out.Jobs, j)
+	}
+	return out
+}
+
+func (d *Duty) readJob(ctx context.Context, id string) machine.Read {
+	j, err := readJob(ctx, d.opts.Table, id)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return machine.Read{ID: id}
+	case err != nil:
+		return machine.Read{ID: id, Failed: true}
+	}
+	return machine.Read{ID: id, Job: &j}
+}
+
+func readJob(ctx context.Context, t store.Table, id string) (structs.Job, error) {
+	row, err := t.Get(ctx, store.KeyJob(id))
+	if err != nil {
+		return structs.Job{}, fmt.Errorf("job %s: %w", id, err)
+	}
+	return rows.DecodeJob(row.Value, row.Version)
+}
+
+func (d *Duty) write(ctx context.Context, j structs.Job) machine.Written {
+	version, err := commitJob(ctx, d.opts.Table, j)
+	return machine.Written{Job: j, Version: version, Outcome: outcomeOf(err)}
+}
+
+// commitJob writes a row that must have the job's version; 0 means that it
+// must not exist. If the answer is lost, the row is read back.
+func commitJob(ctx context.Context, t store.Table, j structs.Job) (uint64, error) {
+	value, err := rows.EncodeJob(j)
+	if err != nil {
+		return 0, err
+	}
+	op := store.Op{Kind: store.OpUpdate, Key: store.KeyJob(j.Spec.ID), Expect: j.Version, Value: value}
+	if j.Version == 0 {
+		op.Kind = store.OpInsert
+	}
+	versions, err := t.Commit(ctx, []store.Op{op})
+	if err == nil {
+		return versions[0], nil
+	}
+	if !errors.Is(err, store.ErrUnknown) {
+		return 0, fmt.Errorf("write job %s: %w", j.Spec.ID, err)
+	}
+	row, readErr := t.Get(ctx, op.Key)
+	if readErr == nil && row.Version != j.Version && bytes.Equal(row.Value, value) {
+		return row.Version, nil
+	}
+	return 0, fmt.Errorf("write job %s: %w", j.Spec.ID, err)
+}
+
+func (d *Duty) usage(ctx context.Context) machine.UsageSeen {
+	var out machine.UsageSeen
+	for after := ""; ; {
+		page, err := d.opts.Workers.Usage(ctx, after, usagePage)
+		if err != nil {
+			d.opts.Log.Debug("usage not read", "error", err)
+			return machine.UsageSeen{Failed: true}
+		}
+		for _, r := range page {
+			out.Runs = append(out.Runs, runOf(r))
+		}
+		if len(page) == 0 || page[len(page)-1].Task == after {
+			return out
+		}
+		after = page[len(page)-1].Task
+	}
+}
+
+func runOf(r store.Run) machine.Run {
+	return machine.Run{
+		Job: r.Task, Token: r.Token, State: machine.RunState(r.State), Ran: r.Ran, Checkpoint: r.Checkpoint,
+		MilliCores: r.UsedMilliCores, MemoryMB: r.UsedMemoryMB,
+	}
+}
+
+// call calls a worker. A checkpoint is followed by the stop; a run that went
+// on after the checkpoint would do work that is lost.
+func (d *Duty) call(ctx context.Context, c machine.Call) machine.Called {
+	out := machine.Called{Call: c, Sent: time.Now()}
+	hold := store.Hold{Task: c.Job, Token: c.Token, Lease: c.Lease}
+	w := d.opts.Workers
+	var run store.Run
+	var err error
+	switch c.Kind {
+	case machine.CallStart:
+		run, err = w.Start(ctx, store.Task{
+			ID: c.Job, Worker: c.Worker, Token: c.Token, MilliCores: c.MilliCores, MemoryMB: c.MemoryMB,
+			Accelerators: c.Accelerators, Declared: c.Declared, Lease: c.Lease, Progress: c.Progress,
+		})
+	case machine.CallRenew:
+		run, err = w.Renew(ctx, hold)
+	case machine.CallThrottle, machine.CallRestore:
+		run, err = w.Throttle(ctx, hold, c.MilliCores)
+	case machine.CallCheckpoint:
+		if _, err = w.Checkpoint(ctx, hold); err == nil {
+			run, err = w.Stop(ctx, hold)
+		}
+	case machine.CallStop:
+		run, err = w.Stop(ctx, hold)
+	}
+	out.Run, out.Outcome = runOf(run), outcomeOf(err)
+	return out
+}
+
+func outcomeOf(err error) machine.Outcome {
+	conflict := new(store.ConflictError)
+	switch {
+	case err == nil:
+		return machine.Done
+	case errors.As(err, &conflict):
+		return machine.Conflict
+	case errors.Is(err, store.ErrFenced):
+		return machine.Fenced
+	case errors.Is(err, store.ErrNoRoom), errors.Is(err, store.ErrNeverFits):
+		return machine.NoRoom
+	case errors.Is(err, store.ErrNotFound):
+		return machine.Missing
+	case errors.Is(err, store.ErrUnavailable):
+		return machine.NotMade
+	}
+	return machine.Unknown
+}
--- /dev/null
+++ b/daemon/controller/jobs/duty.go
@@ -0,0 +1,120 @@
+// Package jobs is the duty that runs the teams' jobs on the workers of the
+// pools whose lease this process holds. Package machine decides; this package
+// does the I/O in a bounded pool and answers the teams' calls.
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/carobwharf/carobwharf/daemon/controller/jobs/machine"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// Options configures the duty. All fields are required.
+type Options struct {
+	Machine machine.Config
+	Timeout time.Duration // of one call to the platform or to a worker
+	Calls   int           // calls at the same time
+	Table   store.Table
+	Workers store.Workers
+	Fleet   *ring.Ring[*structs.FleetView] // KeepNewest, filled by the vmview duty
+	Configs *ring.Ring[*structs.Config]    // KeepNewest, filled by the config duty
+	Log     hclog.Logger
+	Metrics *metrics.Registry
+}
+
+const (
+	tickEvery  = 100 * time.Millisecond
+	resultRing = 1024 // results of actions and hints
+	queued     = 4096 // actions that wait for a free call
+)
+
+// Duty is the jobs duty.
+type Duty struct {
+	opts    Options
+	machine *machine.Machine
+	events  *ring.Ring[machine.Event]
+	pool    pond.Pool
+	config  atomic.Pointer[structs.Config]
+	status  atomic.Pointer[Status]
+}
+
+// New returns the duty; Run starts it.
+func New(o Options) (*Duty, error) {
+	d := &Duty{
+		opts:    o,
+		machine: machine.New(o.Machine),
+		events:  ring.New[machine.Event]("jobs", resultRing, ring.Wait),
+		pool:    pond.NewPool(o.Calls, pond.WithQueueSize(queued), pond.WithNonBlocking(true)),
+	}
+	d.status.Store(&Status{})
+	if err := o.Metrics.WatchRing("jobs", d.events.Stats); err != nil {
+		return nil, fmt.Errorf("jobs: %w", err)
+	}
+	return d, nil
+}
+
+// Run runs the duty until ctx ends. Tasks go on under the next holder of the
+// leases.
+func (d *Duty) Run(ctx context.Context) error {
+	defer d.pool.StopAndWait()
+	defer d.events.Close()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			d.step(ctx, machine.Tick{})
+			d.publish()
+		case v := <-d.opts.Fleet.C():
+			d.step(ctx, machine.FleetSeen{View: v})
+		case c := <-d.opts.Configs.C():
+			d.config.Store(c)
+			d.step(ctx, machine.ConfigSeen{Config: c})
+		case e := <-d.events.C():
+			d.step(ctx, e)
+		}
+	}
+}
+
+// step feeds the machine and starts its actions. An action that finds no
+// place in the pool was not made; the machine tries again later.
+func (d *Duty) step(ctx context.Context, e machine.Event) {
+	for todo := []machine.Event{e}; len(todo) > 0; todo = todo[1:] {
+		begun := time.Now()
+		actions := d.machine.Step(begun, todo[0])
+		d.opts.Metrics.Timer("jobs.step").UpdateSince(begun)
+		d.report(todo[0])
+		for _, a := range actions {
+			if err := d.pool.Go(func() { _ = d.events.Put(ctx, d.perform(ctx, a)) }); err != nil {
+				d.opts.Metrics.Counter("jobs.no_call").Inc(1)
+				todo = append(todo, refused(a))
+			}
+		}
+	}
+}
+
+func (d *Duty) report(e machine.Event) {
+	switch e := e.(type) {
+	case machine.Written:
+		d.opts.Metrics.Counter("jobs.write." + string(e.Outcome)).Inc(1)
+		d.opts.Log.Debug("job row written", "job", e.Job.Spec.ID, "state", e.Job.State, "outcome", e.Outcome)
+	case machine.Called:
+		d.opts.Metrics.Counter("jobs." + string(e.Call.Kind) + "." + string(e.Outcome)).Inc(1)
+		if e.Outcome != machine.Done {
+			d.opts.Log.Debug("call to worker failed", "call", e.Call.Kind, "job", e.Call.Job,
+				"worker", e.Call.Worker, "outcome", e.Outcome)
+		}
+	}
+}
--- a/daemon/process/base.go
+++ b/daemon/process/base.go
@@ -15,6 +15,7 @@
 	"github.com/carobwharf/carobwharf/peer/link"
 	"github.com/carobwharf/carobwharf/peer/member"
 	"github.com/carobwharf/carobwharf/peer/platform"
+	"github.com/carobwharf/carobwharf/peer/worker"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/structs"
@@ -53,6 +54,7 @@
 	opts       Options
 	set        settings.Process
 	platform   *platform.Client
+	workers    *worker.Client // nil in a gateway
 	dialer     *link.Dialer
 	server     *link.Server
 	client     *member.Client
@@ -124,6 +126,9 @@
 // close closes the connections after the duties have ended.
 func (b *base) close() error {
 	b.platform.Close()
+	if b.workers != nil {
+		b.workers.Close()
+	}
 	if err := b.dialer.Close(); err != nil {
 		return fmt.Errorf("close peer connections: %w", err)
 	}
--- a/daemon/process/controller.go
+++ b/daemon/process/controller.go
@@ -32,8 +32,8 @@
 
 // NewController builds a controller process and opens its listeners.
 func NewController(o Options) (*Controller, error) {
-	in := newViews("poolkeeper")
-	b, err := newBase(o, in)
+	in, jobsIn := newViews("poolkeeper"), newViews("jobs")
+	b, err := newBase(o, in, jobsIn)
 	if err != nil {
 		return nil, err
 	}
@@ -41,12 +41,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("pool keeper duty: %w", err)
 	}
+	runner, err := newJobs(b, jobsIn)
+	if err != nil {
+		return nil, fmt.Errorf("jobs duty: %w", err)
+	}
 	peers := peercontroller.NewClient(b.dialer)
 	inner, err := controller.New(controller.Options{
 		Settings: b.set, Platform: b.platform, Log: o.Log, Metrics: o.Metrics, Version: o.Version,
 		Peers: b.transfer, Subscribers: b.subscribed.configs,
 		Fleet: b.seen.fleet.Load, Members: b.seen.members.Load,
-		Drainer: drainer{keeper: keeper, peers: peers, seen: b.seen},
+		Drainer: drainer{keeper: keeper, peers: peers, seen: b.seen}, Jobs: runner,
 	})
 	if err != nil {
 		return nil, err
@@ -59,6 +63,7 @@
 		return nil, err
 	}
 	inner.Add(duty.Duty{Name: "poolkeeper", Run: keeper.Run, Dump: keeper.Dump})
+	inner.Add(duty.Duty{Name: "jobs", Run: runner.Run, Dump: runner.Dump})
 	return &Controller{base: b, inner: inner}, nil
 }
 
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -21,7 +21,7 @@
 var pure = []string{
 	"structs", "configcheck", "publication", "admission", "dispatch", "retry",
 	"intent", "pacing", "budget", "rollout", "buffer", "placement", "membership", "lease",
-	"daemon/gateway/dispatcher",
+	"daemon/gateway/dispatcher", "daemon/controller/jobs/machine",
 }
 
 // Imports that a pure package may have besides other pure packages.
--- a/peer/operator/server.go
+++ b/peer/operator/server.go
@@ -20,12 +20,13 @@
 // that it cannot make the server read a whole set.
 const unauthorizedBody = 1 << 10
 
-// Options configures NewServer. All fields are required.
+// Options configures NewServer. All fields but Jobs are required.
 type Options struct {
 	Addr    string // IP:port
 	Key     string // that every call carries
 	Timeout time.Duration
 	Handler Handler
+	Jobs    JobHandler // nil: calls about jobs are not found
 }
 
 // Server is the operators' API.
@@ -82,6 +83,9 @@
 		return
 	}
 	handle := s.routes[string(http.Method())+" "+string(http.Path())]
+	if handle == nil {
+		handle = s.jobRoute(http)
+	}
 	if handle == nil {
 		writeError(http, &Error{Code: CodeNotFound, Message: "no such call: " + string(http.Method()) + " " + string(http.Path())})
 		return
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -297,6 +297,9 @@
 		j.failedOn = nil
 	}
 	need := s.learn.Size(&j.Job)
+	if s.opt.Declared {
+		need = need.atLeast(j.Size)
+	}
 	fits := false
 	var most Size
 	for _, g := range s.groups {
--- a/placement/types.go
+++ b/placement/types.go
@@ -75,6 +75,7 @@
 	ReserveAfter time.Duration // wait after which a job that fits nowhere gets a worker reserved. Default 30 min
 	HoldFor      time.Duration // a checkpoint that takes longer becomes a stop. Default 10 s
 	Preemptions  int           // a batch task stopped this often is not stopped again. Default 3
+	Declared     bool          // workers reserve the declared size: corrections never go below it
 	Quarantine   time.Duration // first quarantine of a worker, doubled each time. Default 1 min
 }
 
--- a/store/keys.go
+++ b/store/keys.go
@@ -42,5 +42,8 @@
 // KeyMember returns the key of a process's row.
 func KeyMember(id string) string { return PrefixMember + id }
 
+// KeyJob returns the key of a job's row.
+func KeyJob(id string) string { return PrefixJob + id }
+
 // KeyPlan returns the key of a stop plan's progress.
 func KeyPlan(name string) string { return PrefixPlan + name }
