Add the job commands and golden transcripts of the jobs machine

Cause: operators and teams need a command line for jobs, and the machine's order of writes and calls must not change unnoticed. Found by the transcripts: a pool whose lease was not seen renewed in time and that was taken again under the same lease token began its fencing tokens anew, so that a worker would have refused later starts as fenced. The machine now goes on above the greatest token it gave and above those of the rows. Ruled out: dropping the whole row's token check, because it is what stops a late holder from starting runs that the worker refuses.

--- a/cli/root.go
+++ b/cli/root.go
@@ -22,7 +22,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
-	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd(), newConfigCmd())
+	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd(), newConfigCmd(), newJobCmd())
 	root.AddCommand(newControllerCmd(), newGatewayCmd())
 	root.AddCommand(newStandinCmd(), newLoadCmd(), newBenchCmd(), newDemoCmd())
 	root.AddCommand(newVersionCmd())
--- a/daemon/controller/jobs/machine/drive.go
+++ b/daemon/controller/jobs/machine/drive.go
@@ -143,6 +143,7 @@
 			m.dropPool(j.pool) // a later holder has written the row
 			return
 		}
+		m.leases[j.pool.name].last = c.Token
 		j.want.State, j.want.Worker, j.want.Token = structs.JobRunning, c.Worker, c.Token
 		j.want.Starts++
 		j.started, j.peak, j.renewAt, j.tries = false, placement.Size{}, time.Time{}, 0
--- a/daemon/controller/jobs/machine/lease.go
+++ b/daemon/controller/jobs/machine/lease.go
@@ -14,6 +14,7 @@
 type leaseView struct {
 	row   LeaseRow
 	until time.Time // end of the validity; zero if the own process does not hold it
+	last  uint64    // greatest fencing token given under the lease token
 }
 
 // observe takes a reading of a lease in. A version that the reading before
@@ -30,6 +31,9 @@
 	} else if r.Version == l.row.Version {
 		return
 	}
+	if r.Token != l.row.Token {
+		l.last = 0
+	}
 	l.row, l.until = r, time.Time{}
 	if r.Holder == m.cfg.ID {
 		l.until = m.lastScan.Add(r.Duration - r.Duration/8)
@@ -69,7 +73,7 @@
 }
 
 // takePools begins to schedule the pools whose lease was found to be held.
-func (m *Machine) takePools(now time.Time) {
+func (m *Machine) takePools(now time.Time, rows []structs.Job) {
 	if m.fleet == nil || m.config == nil {
 		return
 	}
@@ -82,7 +86,7 @@
 			name: name, token: l.row.Token, workers: map[string]bool{}, parked: map[string]bool{}, dirty: true,
 			sched: placement.New(placement.Options{
 				Attempts: m.cfg.Attempts, Lease: 2 * m.cfg.Lease, Declared: true,
-			}, l.row.Token<<32),
+			}, l.lastToken(name, rows)),
 		}
 		m.pools[name] = p
 		m.setTeams(p)
@@ -90,6 +94,18 @@
 	}
 }
 
+// lastToken returns the token above which new ones start: a pool that is
+// lost and taken again under the same lease does not use a token twice.
+func (l *leaseView) lastToken(pool string, rows []structs.Job) uint64 {
+	last := max(l.last, l.row.Token<<32)
+	for i := range rows {
+		if r := &rows[i]; r.Spec.Pool == pool && r.Token>>32 == l.row.Token {
+			last = max(last, r.Token)
+		}
+	}
+	return last
+}
+
 func (m *Machine) seeConfig(c *structs.Config) {
 	if m.config != nil && c.Generation <= m.config.Generation {
 		return
@@ -117,7 +133,7 @@
 	}
 	m.lastScan = e.Started
 	m.dropLost(now)
-	m.takePools(now)
+	m.takePools(now, e.Jobs)
 	for _, row := range e.Jobs {
 		m.merge(now, row)
 	}
--- /dev/null
+++ b/daemon/controller/jobs/machine/transcript_test.go
@@ -0,0 +1,225 @@
+package machine
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+var update = flag.Bool("update", false, "write the actions into the transcripts")
+
+// A transcript has lines "> time event" and, after each, the actions that the
+// machine answers with as lines "< action". Lines with # are comments.
+type session struct {
+	t      *testing.T
+	m      *Machine
+	start  time.Time
+	now    time.Time
+	writes map[string]structs.Job // last of each job
+	calls  map[string]Call
+}
+
+func newSession(t *testing.T) *session {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	return &session{t: t, start: start, now: start, writes: map[string]structs.Job{}, calls: map[string]Call{},
+		m: New(Config{ID: "c1", Lease: 30 * time.Second, ScanEvery: time.Second, Usage: time.Second,
+			Retry: time.Second, Starts: 100, Attempts: 3})}
+}
+
+func (s *session) run(line string) (out []string) {
+	f := strings.Fields(line)
+	at, err := time.ParseDuration(f[0])
+	require.NoError(s.t, err, line)
+	s.now = s.start.Add(at)
+	for _, a := range s.m.Step(s.now, s.event(f[1], f[2:])) {
+		out = append(out, s.describe(a))
+	}
+	return out
+}
+
+func (s *session) event(name string, args []string) Event {
+	switch name {
+	case "tick":
+		return Tick{}
+	case "config":
+		return ConfigSeen{&structs.Config{Generation: 1, Set: structs.ObjectSet{Teams: []structs.Team{{Name: "few", Jobs: 1}}}}}
+	case "fleet":
+		return FleetSeen{s.fleet(args)}
+	case "scan":
+		return s.scan(args)
+	case "hint":
+		return Hint{s.job(args[0])}
+	case "cancel": // the API adds the wish to the row as the last write left it
+		j := s.writes[args[0]]
+		j.Cancel, j.Holder, j.Version = true, "c2", s.number(args, 1)
+		return Hint{j}
+	case "written":
+		w := s.writes[args[0]]
+		return Written{Job: w, Outcome: Outcome(strings.ReplaceAll(args[1], "-", " ")), Version: s.number(args, 2)}
+	case "read":
+		return s.read(args)
+	case "called":
+		return s.called(args)
+	case "usage":
+		return UsageSeen{Runs: []Run{{Job: args[0], Token: s.token(args[1]), State: RunState(args[2]), Ran: time.Second}}}
+	}
+	s.t.Fatalf("unknown event %q", name)
+	return nil
+}
+
+// fleet reads VMs as id:cores:state.
+func (s *session) fleet(args []string) *structs.FleetView {
+	v := &structs.FleetView{ReadAt: s.now}
+	for _, a := range args {
+		f := strings.Split(a, ":")
+		cores, _ := strconv.Atoi(f[1])
+		v.VMs = append(v.VMs, structs.VM{ID: f[0], State: structs.VMLive, Cores: cores, MemoryMB: 32000})
+		v.Owners = append(v.Owners, structs.Owner{VM: f[0], Pool: "p", State: structs.OwnerState(f[2])})
+	}
+	return v
+}
+
+// scan reads "lease=holder:token:version" and jobs.
+func (s *session) scan(args []string) Scanned {
+	out := Scanned{Started: s.now}
+	for _, a := range args {
+		if a == "failed" {
+			return Scanned{Failed: true}
+		}
+		text, ok := strings.CutPrefix(a, "lease=")
+		if !ok {
+			out.Jobs = append(out.Jobs, s.job(a))
+			continue
+		}
+		f := strings.Split(text, ":")
+		out.Leases = append(out.Leases, LeaseRow{Pool: "p", Holder: f[0], Token: s.number(f, 1), Version: s.number(f, 2), Duration: 8 * time.Second})
+	}
+	return out
+}
+
+// job reads id:class:cores:version:state[:worker:token][:cancel].
+func (s *session) job(text string) structs.Job {
+	f := strings.Split(text, ":")
+	cores, _ := strconv.Atoi(f[2])
+	j := structs.Job{Version: s.number(f, 3), State: structs.JobState(f[4]), Submitted: s.start,
+		Spec: structs.JobSpec{ID: f[0], Team: "t", Kind: "k", Class: structs.Class(f[1]), Pool: "p", MilliCores: 1000 * cores,
+			MemoryMB: 1000, RunTime: time.Minute, Checkpoints: true}}
+	if strings.HasPrefix(f[0], "few") {
+		j.Spec.Team = "few"
+	}
+	if j.Cancel = f[len(f)-1] == "cancel"; j.State == structs.JobRunning {
+		j.Worker, j.Token, j.Starts = f[5], s.token(f[6]), 1
+	}
+	return j
+}
+
+func (s *session) read(args []string) Read {
+	switch args[1] {
+	case "failed":
+		return Read{ID: args[0], Failed: true}
+	case "missing":
+		return Read{ID: args[0]}
+	case "written": // as the last write left it
+		j := s.writes[args[0]]
+		j.Version = s.number(args, 2)
+		return Read{ID: args[0], Job: &j}
+	}
+	j := s.job(args[1])
+	return Read{ID: args[0], Job: &j}
+}
+
+// called reads the job, the outcome, and the state and checkpoint of the run.
+func (s *session) called(args []string) Called {
+	c := s.calls[args[0]]
+	e := Called{Call: c, Sent: s.now, Outcome: Outcome(strings.ReplaceAll(args[1], "-", " "))}
+	if e.Outcome == Done {
+		e.Run = Run{Job: c.Job, Token: c.Token, State: RunState(args[2]), Ran: time.Second}
+	}
+	if len(args) > 3 {
+		d, err := time.ParseDuration(args[3])
+		require.NoError(s.t, err)
+		e.Run.Checkpoint = d
+	}
+	return e
+}
+
+func (s *session) number(f []string, i int) uint64 {
+	if i >= len(f) {
+		return 0
+	}
+	n, err := strconv.ParseUint(f[i], 10, 64)
+	require.NoError(s.t, err)
+	return n
+}
+
+// token reads lease.counter.
+func (s *session) token(text string) uint64 {
+	f := strings.Split(text, ".")
+	return s.number(f, 0)<<32 | s.number(f, 1)
+}
+
+func (s *session) describe(a Action) string {
+	switch a := a.(type) {
+	case Write:
+		s.writes[a.Job.Spec.ID] = a.Job
+		out := fmt.Sprintf("write %s over version %d: %s", a.Job.Spec.ID, a.Job.Version, a.Job.State)
+		if a.Job.Worker != "" {
+			out += fmt.Sprintf(" on %s token %d.%d", a.Job.Worker, a.Job.Token>>32, uint32(a.Job.Token))
+		}
+		if a.Job.Progress > 0 || a.Job.Failures > 0 {
+			out += fmt.Sprintf(" progress %v failures %d", a.Job.Progress, a.Job.Failures)
+		}
+		if a.Job.Reason != "" {
+			out += " (" + a.Job.Reason + ")"
+		}
+		return out
+	case Call:
+		s.calls[a.Job] = a
+		return fmt.Sprintf("call %s %s on %s token %d.%d progress %v", a.Kind, a.Job, a.Worker, a.Token>>32, uint32(a.Token), a.Progress)
+	case ReadJob:
+		return "read " + a.ID
+	case Scan:
+		return "scan"
+	}
+	return "usage"
+}
+
+// The machine's answers to whole sessions must stay as they were reviewed: a
+// changed order of a write and a call can run a job twice.
+func TestTranscripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			s := newSession(t)
+			var got strings.Builder
+			for line := range strings.Lines(string(data)) {
+				if strings.HasPrefix(line, "<") {
+					continue
+				}
+				got.WriteString(line)
+				if event, ok := strings.CutPrefix(line, "> "); ok {
+					for _, a := range s.run(event) {
+						got.WriteString("< " + a + "\n")
+					}
+				}
+			}
+			if *update {
+				require.NoError(t, os.WriteFile(path, []byte(got.String()), 0o644))
+			}
+			require.Equal(t, string(data), got.String())
+		})
+	}
+}
