Recover placement from job records

Cause: placement runs under the pool's lease; a new holder must go on with running tasks instead of starting them again. Ruled out: freeing tasks on workers that the new holder does not know; such a worker may still run them, so they wait for the lease like all others. Leases from a record may be out of date, so they last at least one more period.

--- a/placement/index.go
+++ b/placement/index.go
@@ -36,7 +36,6 @@
 // processors.
 type group struct {
 	WorkerType
-	number  int
 	buckets [][]*worker
 	mask    []uint64 // bit b is set if bucket b is not empty
 	count   int
@@ -49,9 +48,9 @@
 	compared = 8
 )
 
-func newGroup(t WorkerType, number int) *group {
+func newGroup(t WorkerType) *group {
 	n := t.Capacity.MilliCores/milli + 1
-	return &group{WorkerType: t, number: number, buckets: make([][]*worker, n), mask: make([]uint64, (n+63)/64)}
+	return &group{WorkerType: t, buckets: make([][]*worker, n), mask: make([]uint64, (n+63)/64)}
 }
 
 func (g *group) bucketOf(free Size) int {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -108,6 +108,32 @@
 	require.Equal(t, []string{"start b"}, kinds(s.Place(at(31*time.Second), 1)))
 }
 
+// A new holder of the pool's lease must go on with the old one's tasks: it
+// must neither start them twice nor reuse a token.
+func TestRecoversFromRecords(t *testing.T) {
+	old, fresh := fleet(Options{}, 2), fleet(Options{}, 1)
+	for _, id := range []string{"a", "b", "c"} {
+		require.NoError(t, old.Submit(batch(id, 16), t0))
+	}
+	starts := old.Place(t0, 9)
+	require.Equal(t, []string{"start a", "start b"}, kinds(starts))
+	for _, id := range []string{"a", "b", "c"} {
+		r, ok := old.Record(id)
+		require.True(t, ok)
+		require.NoError(t, fresh.Recover(r, at(20*time.Second)))
+		require.Error(t, fresh.Recover(r, at(20*time.Second)))
+	}
+	require.Empty(t, fresh.Place(at(49*time.Second), 9), "the only worker is taken, and leases last from the recovery")
+	for _, c := range starts {
+		if c.Worker == "w0" {
+			require.NoError(t, fresh.Report(Report{Kind: ReportFinished, Job: c.Job, Token: c.Token}, at(49*time.Second)))
+		}
+	}
+	c := fresh.Place(at(49*time.Second), 9)
+	require.Equal(t, []string{"start c"}, kinds(c))
+	require.Greater(t, c[0].Token, starts[1].Token)
+}
+
 // A worker that fails everything is always free and would attract all jobs;
 // a job that fails everywhere must not quarantine the fleet.
 func TestQuarantineAndRetryLimit(t *testing.T) {
--- a/placement/room.go
+++ b/placement/room.go
@@ -41,7 +41,7 @@
 	seen := 0
 	for i := range s.workers {
 		w := s.workers[(s.cursor+i)%len(s.workers)]
-		if w.bucket < 0 || w.probation || w.held != nil || !need.Fits(w.free.plus(w.batch)) || len(j.failedOn) > 0 && !avoids(j, w) {
+		if w.bucket < 0 || w.probation || w.held != nil || !need.Fits(w.free.plus(w.batch)) || len(j.failedOn) > 0 && !mayUse(j, w) {
 			continue
 		}
 		if p, ok := planRoom(w, need); ok && (best == nil || p.cost < bestPlan.cost) {
@@ -64,8 +64,8 @@
 	return true
 }
 
-// avoids reports whether the job has not failed on the worker.
-func avoids(j *job, w *worker) bool {
+// mayUse reports whether the job has not failed on the worker.
+func mayUse(j *job, w *worker) bool {
 	for _, f := range j.failedOn {
 		if f == w {
 			return false
@@ -200,7 +200,7 @@
 	need := s.need(j)
 	var best *worker
 	for _, w := range s.workers {
-		if w.bucket < 0 || w.held != nil || w.probation || !need.Fits(w.kind.Capacity) || !avoids(j, w) {
+		if w.bucket < 0 || w.held != nil || w.probation || !need.Fits(w.kind.Capacity) || !mayUse(j, w) {
 			continue
 		}
 		if best == nil || w.free.MilliCores > best.free.MilliCores {
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -121,7 +121,7 @@
 			return g
 		}
 	}
-	g := newGroup(t, len(s.groups))
+	g := newGroup(t)
 	s.groups = append(s.groups, g)
 	s.compact = sortCompact(s.groups)
 	return g
@@ -316,18 +316,9 @@
 	s.dropHold(j)
 	j.queued = false
 	s.token++
-	j.token, j.worker, j.alloc = s.token, w, j.need
-	j.run = runState{batch: j.Class == structs.ClassBatch && j.preemptions < s.opt.Preemptions}
+	j.token = s.token
+	s.occupy(j, w, j.need)
 	j.expires = now.Add(s.opt.Lease)
-	w.free = w.free.minus(j.alloc)
-	w.tasks = append(w.tasks, j)
-	if j.run.batch {
-		w.batch = w.batch.plus(j.alloc)
-		s.moreBatch(w)
-	}
-	w.kind.update(w)
-	j.team.running++
-	j.team.use = j.team.use.plus(j.alloc)
 	heap.Push(&s.timers, timer{at: j.expires, job: j, token: j.token})
 	s.send(CommandStart, j, "")
 }
