--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -30,7 +30,7 @@
 	s.jobs[j.ID] = a
 	w := s.byID[r.Worker]
 	if w == nil {
-		w = &worker{id: r.Worker, kind: newGroup(WorkerType{}, 0), gone: true, bucket: -1}
+		w = &worker{id: r.Worker, kind: newGroup(WorkerType{}), gone: true, bucket: -1}
 	}
 	a.token, a.worker, a.alloc = r.Token, w, s.need(a)
 	a.run = runState{batch: j.Class == structs.ClassBatch && !w.gone}
