--- a/daemon/controller/jobs/machine/fleet.go
+++ b/daemon/controller/jobs/machine/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/placement"
@@ -22,9 +23,10 @@
 	for _, o := range v.Owners {
 		m.owners[o.VM] = o
 	}
+	usable := m.usable()
 	for _, name := range sortedKeys(m.pools) {
 		p := m.pools[name]
-		m.setWorkers(p)
+		m.setWorkers(p, usable[name])
 		for id := range p.parked {
 			delete(p.parked, id)
 			m.enqueue(now, m.jobs[id])
@@ -33,15 +35,22 @@
 	m.vacate()
 }
 
-// setWorkers adds the active VMs of the pool that are listed, and removes the
-// others.
-func (m *Machine) setWorkers(p *pool) {
-	active := make(map[string]bool, len(p.workers))
+// usable groups the VMs that may get tasks by pool.
+func (m *Machine) usable() map[string][]structs.VM {
+	out := map[string][]structs.VM{}
 	for _, vm := range m.fleet.VMs {
 		o := m.owners[vm.ID]
-		if o.Pool != p.name || o.State != structs.OwnerActive || vm.State == structs.VMLeaving || vm.Cores == 0 {
-			continue
+		if o.State == structs.OwnerActive && vm.State != structs.VMLeaving && vm.Cores > 0 && m.pools[o.Pool] != nil {
+			out[o.Pool] = append(out[o.Pool], vm)
 		}
+	}
+	return out
+}
+
+// setWorkers adds the usable VMs of the pool and removes the others.
+func (m *Machine) setWorkers(p *pool, vms []structs.VM) {
+	active := make(map[string]bool, len(vms))
+	for _, vm := range vms {
 		active[vm.ID] = true
 		if !p.workers[vm.ID] {
 			size := sizeOf(vm)
@@ -68,7 +77,14 @@
 
 // vacate orders the tasks on VMs that are leaving to be saved and stopped.
 func (m *Machine) vacate() {
-	for _, id := range sortedKeys(m.jobs) {
+	var ids []string
+	for id, j := range m.jobs {
+		if m.leaving(j.want.Worker) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
 		m.vacateJob(m.jobs[id])
 	}
 }
--- a/daemon/controller/jobs/machine/lease.go
+++ b/daemon/controller/jobs/machine/lease.go
@@ -90,7 +90,7 @@
 		}
 		m.pools[name] = p
 		m.setTeams(p)
-		m.setWorkers(p)
+		m.setWorkers(p, m.usable()[name])
 	}
 }
 
--- a/daemon/controller/jobs/rig_test.go
+++ b/daemon/controller/jobs/rig_test.go
@@ -29,6 +29,8 @@
 	work   *worker.Client
 	vms    []structs.VM
 	owners []structs.Owner
+	wrap   store.Workers         // used by new nodes if set
+	tune   func(*machine.Config) // changes the configuration of new nodes
 }
 
 func newRig(t testing.TB, vms int, faults platform.Faults) *rig {
@@ -62,10 +64,17 @@
 func (r *rig) node(id string, table store.Table, lease time.Duration) *node {
 	n := &node{fleet: ring.New[*structs.FleetView]("fleet", 1, ring.KeepNewest)}
 	configs := ring.New[*structs.Config]("configs", 1, ring.KeepNewest)
+	cfg := machine.Config{ID: id, Lease: lease, ScanEvery: 100 * time.Millisecond,
+		Usage: 100 * time.Millisecond, Retry: 50 * time.Millisecond, Starts: 64, Attempts: 3}
+	if r.tune != nil {
+		r.tune(&cfg)
+	}
+	workers := store.Workers(r.work)
+	if r.wrap != nil {
+		workers = r.wrap
+	}
 	d, err := New(Options{
-		Machine: machine.Config{ID: id, Lease: lease, ScanEvery: 100 * time.Millisecond,
-			Usage: 100 * time.Millisecond, Retry: 50 * time.Millisecond, Starts: 64, Attempts: 3},
-		Timeout: 2 * time.Second, Calls: 16, Table: table, Workers: r.work, Fleet: n.fleet, Configs: configs,
+		Machine: cfg, Timeout: 2 * time.Second, Calls: 16, Table: table, Workers: workers, Fleet: n.fleet, Configs: configs,
 		Log: hclog.NewNullLogger(), Metrics: metrics.New(),
 	})
 	require.NoError(r.t, err)
