--- a/daemon/controller/poolkeeper/events.go
+++ b/daemon/controller/poolkeeper/events.go
@@ -100,6 +100,7 @@
 type Result struct {
 	Accepted bool
 	Epoch    uint64 // of the ownership row that drains the VM
+	Pool     string // of the VM, if the order was accepted here
 	Holder   string // who holds the lease of the VM's pool, if not this process
 	Refusal  string // why the order was not accepted
 }
--- a/daemon/controller/poolkeeper/orders.go
+++ b/daemon/controller/poolkeeper/orders.go
@@ -64,7 +64,7 @@
 	}
 	if o.State != structs.OwnerActive {
 		if o.Reason == orderPlan(p.order) {
-			return Result{Accepted: true, Epoch: o.Epoch}, true
+			return Result{Accepted: true, Epoch: o.Epoch, Pool: o.Pool}, true
 		}
 		return Result{Refusal: fmt.Sprintf("VM %s is %s: %s", o.VM, o.State, o.Reason)}, true
 	}
@@ -109,7 +109,7 @@
 	}
 	r := Result{Refusal: "the change was not made; send the order again"}
 	if e.Done {
-		r = Result{Accepted: true, Epoch: e.Change.Owners[0].Epoch}
+		r = Result{Accepted: true, Epoch: e.Change.Owners[0].Epoch, Pool: e.Change.Owners[0].Pool}
 	}
 	m.do(Reply{ID: e.Change.Order, Result: r})
 }
--- a/daemon/process/drain.go
+++ b/daemon/process/drain.go
@@ -35,7 +35,11 @@
 	if !result.Accepted {
 		return operator.DrainReply{}, &operator.Error{Code: operator.CodeConflict, Message: result.Refusal}
 	}
-	return operator.DrainReply{VM: r.VM, Pool: d.pool(r.VM), State: structs.OwnerDraining, Epoch: result.Epoch}, nil
+	pool := result.Pool
+	if pool == "" {
+		pool = d.pool(r.VM)
+	}
+	return operator.DrainReply{VM: r.VM, Pool: pool, State: structs.OwnerDraining, Epoch: result.Epoch}, nil
 }
 
 func (d drainer) forward(ctx context.Context, holder string, o poolkeeper.Order) (poolkeeper.Result, error) {
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -217,6 +217,7 @@
 }
 
 type target struct {
+	addr   string // for callers
 	client *caller.Client
 	admin  *operator.Client
 }
@@ -249,6 +250,7 @@
 func (b *balancer) add(c *child) {
 	list := <-b.gateways
 	b.gateways <- append(list[:len(list):len(list)], &target{
+		addr:   c.addrs["callers"],
 		client: caller.NewClient(caller.ClientConfig{Addr: c.addrs["callers"], MaxConnections: 512}),
 		admin:  operator.NewClient(c.addrs["admin"], ""),
 	})
@@ -281,3 +283,21 @@
 	}
 	return ready[b.next.Add(1)%uint64(len(ready))].client.Call(ctx, req)
 }
+
+// addresses returns the addresses for callers in order of the gateways' start.
+func (b *balancer) addresses() []string {
+	list := <-b.gateways
+	b.gateways <- list
+	out := make([]string, len(list))
+	for i, g := range list {
+		out[i] = g.addr
+	}
+	return out
+}
+
+// admin returns a client of the first gateway's admin address.
+func (b *balancer) admin() *operator.Client {
+	list := <-b.gateways
+	b.gateways <- list
+	return list[0].admin
+}
