Bound transactions under way and make view updates cheaper

Cause: with a wait of only 2 ms for more rows and 8 workers, each non-idempotent request got transactions of its own; six gateways would offer the platform more than the 300 writes/s it is planned for. A new view of 15,000 workers searched the owners for each VM, and the list of held endpoints was walked for each event. Ruled out: a fixed rate of transactions for each gateway, because it delays claims, which hold slots of endpoints, even when the platform is idle. Before/after: at most 2 transactions are under way in a gateway; without the bound TestRowsWaitForTransactionsUnderWay fails.

--- a/daemon/gateway/journal/batch.go
+++ b/daemon/gateway/journal/batch.go
@@ -103,7 +103,7 @@
 // VM is checked against one version.
 func (m *Machine) commitTask(now time.Time) *Task {
 	m.dropLate(now)
-	if len(m.writes) == 0 {
+	if len(m.writes) == 0 || m.commits >= maxCommits {
 		return nil
 	}
 	// While the platform is down, the call that tries it does not linger.
@@ -138,6 +138,7 @@
 	m.writes = rest
 	// The rows come first, so that versions and ops have the same index.
 	t.Ops = append(t.Ops, checkOps...)
+	m.commits++
 	m.counters.Commits++
 	m.counters.Rows += int64(len(t.ops))
 	return t
--- a/daemon/gateway/journal/journal_test.go
+++ b/daemon/gateway/journal/journal_test.go
@@ -356,6 +356,22 @@
 	require.Equal(t, 256/options.Batch, r.store.Commits()-before)
 }
 
+// Guards against a busy platform that gets one transaction for each row.
+func TestRowsWaitForTransactionsUnderWay(t *testing.T) {
+	r := newRig(t)
+	r.freeze = true
+	for i := range 50 {
+		r.addClaim(fmt.Sprintf("k%d", i), "a")
+		r.run(5 * time.Millisecond)
+		r.now = r.now.Add(5 * time.Millisecond)
+	}
+	require.Len(t, r.held, maxCommits)
+	before := r.store.Commits()
+	r.thaw()
+	require.Equal(t, maxCommits+1, r.store.Commits()-before)
+	require.Len(t, r.replies, 50)
+}
+
 // Guards against answers that are lost by a graceful stop of the duty.
 func TestStopStoresWhatIsLeft(t *testing.T) {
 	r := newRig(t)
--- a/daemon/gateway/journal/machine.go
+++ b/daemon/gateway/journal/machine.go
@@ -19,6 +19,11 @@
 	MaxBytes   int           // bytes of answers kept while the platform is down
 }
 
+// maxCommits bounds the transactions under way, so that rows share them when
+// the platform is busy: six gateways then have at most 12 of them, which is
+// 40 ms of work at 300 writes/s.
+const maxCommits = 2
+
 // Backoff of operations after a failed call.
 const (
 	firstDelay = 50 * time.Millisecond
@@ -66,6 +71,7 @@
 	gets    []*op // waiting for an object to be read
 	later   []*op // waiting for the end of a backoff
 	running int   // tasks
+	commits int   // tasks that are transactions
 	held    int   // ops of kind Finish and Surrender in the machine
 	bytes   int   // of answers held
 	down    bool
@@ -161,7 +167,7 @@
 	switch {
 	case m.down && m.running == 0 && len(m.writes)+len(m.reads)+len(m.puts)+len(m.gets) > 0:
 		soonest(m.tryAt)
-	case !m.down && m.running < m.opts.Workers && len(m.writes) > 0:
+	case !m.down && m.running < m.opts.Workers && m.commits < maxCommits && len(m.writes) > 0:
 		soonest(m.writes[0].since.Add(m.opts.Linger))
 	}
 	return next
@@ -170,6 +176,9 @@
 // Completed takes the result of a task.
 func (m *Machine) Completed(now time.Time, r Result) {
 	m.running--
+	if r.Task.Kind == CommitRows {
+		m.commits--
+	}
 	m.noteHealth(now, r.Err)
 	switch r.Task.Kind {
 	case CommitRows:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -249,6 +249,18 @@
 	require.Zero(t, s.Ejected(0))
 }
 
+// The dispatcher takes a new view each second and serves nothing meanwhile.
+func BenchmarkUpdate(b *testing.B) {
+	for _, workers := range []int{50, 15000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s, v := New(Options{}), view(workers, 8)
+			for b.Loop() {
+				s.Update(start, View{Fleet: v, Count: 6})
+			}
+		})
+	}
+}
+
 // Bitmaps and sums must make a decision independent of the fleet's size.
 func BenchmarkPick(b *testing.B) {
 	for _, workers := range []int{50, 500, 5000, 15000} {
--- a/dispatch/leave.go
+++ b/dispatch/leave.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/structs"
@@ -48,33 +47,33 @@
 func (s *Set) hold(now time.Time, id Endpoint) {
 	e := &s.endpoints[id]
 	e.heldUntil = now.Add(s.opts.LeaveHold)
-	if !slices.Contains(s.held, id) {
+	if !e.isHeld {
+		e.isHeld = true
 		s.held = append(s.held, id)
 	}
+	s.nextEnd = earlier(s.nextEnd, e.heldUntil)
 }
 
 // Advance returns endpoints whose hold time has ended.
 func (s *Set) Advance(now time.Time) {
 	kept := s.held[:0]
+	s.nextEnd = time.Time{}
 	for _, id := range s.held {
-		if now.Before(s.endpoints[id].heldUntil) {
+		e := &s.endpoints[id]
+		if now.Before(e.heldUntil) {
 			kept = append(kept, id)
+			s.nextEnd = earlier(s.nextEnd, e.heldUntil)
 			continue
 		}
+		e.isHeld = false
 		s.refresh(now, id)
 	}
 	s.held = kept
 }
 
-// NextChange returns the earliest end of a hold time, or the zero time if no
-// endpoint is held.
-func (s *Set) NextChange() time.Time {
-	var next time.Time
-	for _, id := range s.held {
-		next = earlier(next, s.endpoints[id].heldUntil)
-	}
-	return next
-}
+// NextChange returns when Advance is due, or the zero time if no endpoint is
+// held. It may be early, when a hold time was extended.
+func (s *Set) NextChange() time.Time { return s.nextEnd }
 
 func earlier(a, b time.Time) time.Time {
 	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
--- a/dispatch/set.go
+++ b/dispatch/set.go
@@ -44,6 +44,7 @@
 	ceilingUntil time.Time
 
 	heldUntil    time.Time
+	isHeld       bool   // listed in Set.held
 	drainEpoch   uint64 // the owner's epoch must exceed it
 	staleVersion uint64 // owner version that the platform has refuted
 
@@ -90,6 +91,7 @@
 	byName    map[string]Pool
 	services  []serviceStats
 	held      []Endpoint // endpoints that return after a hold time
+	nextEnd   time.Time  // not after the earliest end of a hold time
 }
 
 // New returns an empty Set.
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/carobwharf/carobwharf/structs"
@@ -26,13 +25,20 @@
 		s.endpoints[i].wasListed = s.endpoints[i].listed
 		s.endpoints[i].listed = false
 	}
+	owners := v.Fleet.Owners
 	for i := range v.Fleet.VMs {
 		vm := &v.Fleet.VMs[i]
 		id := s.ensure(vm.ID)
 		e := &s.endpoints[id]
 		e.listed = true
 		e.vm = *vm
-		e.owner = ownerOf(v.Fleet, vm.ID)
+		for len(owners) > 0 && owners[0].VM < vm.ID {
+			owners = owners[1:]
+		}
+		e.owner = structs.Owner{}
+		if len(owners) > 0 && owners[0].VM == vm.ID {
+			e.owner = owners[0]
+		}
 		e.setShare(SlotShare(vm.Slots, i, v.Rank, v.Count))
 		s.readSigns(now, id)
 	}
@@ -48,16 +54,6 @@
 	s.rebuild(now, v.Grow)
 }
 
-func ownerOf(v *structs.FleetView, vm string) structs.Owner {
-	i, ok := slices.BinarySearchFunc(v.Owners, vm, func(o structs.Owner, id string) int {
-		return strings.Compare(o.VM, id)
-	})
-	if !ok {
-		return structs.Owner{}
-	}
-	return v.Owners[i]
-}
-
 func (s *Set) ensure(vm string) Endpoint {
 	if id, ok := s.byVM[vm]; ok {
 		return id
@@ -83,7 +79,9 @@
 		return
 	}
 	delete(s.byVM, e.vm.ID)
-	s.held = slices.DeleteFunc(s.held, func(h Endpoint) bool { return h == id })
+	if e.isHeld {
+		s.held = slices.DeleteFunc(s.held, func(h Endpoint) bool { return h == id })
+	}
 	*e = endpoint{pool: NoPool, level: -1}
 	s.spare = append(s.spare, id)
 }
