--- a/admission/admission.go
+++ b/admission/admission.go
@@ -15,7 +15,8 @@
 	// bursts of the others: bursts grow with the square root of the load. It
 	// applies only to services whose requests hold slots so long that a
 	// returning service would wait more than ReserveWait for the next slot.
-	// Default 0.5; see BenchmarkFlood for what it costs.
+	// Pools with fewer than 8 slots have none. Default 0.5; see BenchmarkFlood
+	// for what it costs.
 	Reserve float64
 	// ReserveWait is the tolerated mean wait for the next slot. Default 5 ms.
 	ReserveWait time.Duration
--- a/admission/next.go
+++ b/admission/next.go
@@ -12,6 +12,10 @@
 	minHolds   = 10
 )
 
+// A pool with fewer slots at this gateway has no reserve: a slot is more than
+// an eighth of it.
+const leastReserving = 8
+
 // A service without a share competes for lent slots as if it had this one.
 const leastShare = 0.01
 
@@ -114,7 +118,7 @@
 // reserve returns the number of slots that the borrower must leave free.
 func (s *Scheduler) reserve(p int, borrower *service) int {
 	capacity := float64(s.pools[p].capacity)
-	if capacity == 0 || borrower.hold/capacity <= s.opts.ReserveWait.Seconds() {
+	if capacity < leastReserving || borrower.hold/capacity <= s.opts.ReserveWait.Seconds() {
 		return 0
 	}
 	guaranteed := 0.0 // of the others
