--- a/daemon/gateway/journal/batch.go
+++ b/daemon/gateway/journal/batch.go
@@ -104,7 +104,7 @@
 // VM is checked against one version.
 func (m *Machine) commitTask(now time.Time) *Task {
 	m.dropLate(now)
-	if len(m.writes) == 0 {
+	if !m.mayCommit() {
 		return nil
 	}
 	if !m.writer.Ready(now) {
@@ -143,6 +143,7 @@
 	// The rows come first, so that versions and ops have the same index.
 	t.Ops = append(t.Ops, checkOps...)
 	m.writer.Take(now)
+	m.commits++
 	m.counters.Commits++
 	m.counters.Rows += int64(len(t.ops))
 	return t
--- a/daemon/gateway/journal/throttle_test.go
+++ b/daemon/gateway/journal/throttle_test.go
@@ -48,7 +48,9 @@
 	now := time.Unix(0, 0)
 	for i := range 50 {
 		m.Add(now, Request{Kind: Claim, Service: "s", Key: fmt.Sprint(i), Deadline: now.Add(time.Minute)})
-		m.Next(now)
+		for _, task := range m.Next(now) {
+			m.Completed(now, Result{Task: task, Versions: make([]uint64, len(task.Ops))})
+		}
 	}
 	require.Equal(t, int64(writePacing.Burst), m.Totals().Commits)
 	m.Next(m.NextWake(now))
