--- a/daemon/controller/jobs/calls.go
+++ b/daemon/controller/jobs/calls.go
@@ -59,29 +59,40 @@
 	return machine.Scanned{Failed: true}
 }
 
+// scan reads the leases, and the jobs if this process holds any.
 func (d *Duty) scan(ctx context.Context) machine.Scanned {
 	out := machine.Scanned{Started: time.Now()}
-	leases, err := store.ScanAll(ctx, d.opts.Table, store.PrefixLease)
-	var found []store.Row
-	if err == nil {
-		found, err = store.ScanAll(ctx, d.opts.Table, store.PrefixJob)
+	held, err := d.scanLeases(ctx, &out)
+	if err == nil && held {
+		err = d.scanJobs(ctx, &out)
 	}
 	if err != nil {
 		d.opts.Metrics.Counter("jobs.scan_failed").Inc(1)
 		d.opts.Log.Warn("platform not read", "error", err)
 		return machine.Scanned{Failed: true}
 	}
-	for _, r := range leases {
+	return out
+}
+
+func (d *Duty) scanLeases(ctx context.Context, out *machine.Scanned) (held bool, err error) {
+	found, err := store.ScanAll(ctx, d.opts.Table, store.PrefixLease)
+	for _, r := range found {
 		l, err := rows.DecodeLease(r.Value)
 		if err != nil {
 			d.opts.Log.Error("row skipped", "key", r.Key, "error", err)
 			continue
 		}
+		held = held || l.Holder == d.opts.Machine.ID
 		out.Leases = append(out.Leases, machine.LeaseRow{
 			Pool: strings.TrimPrefix(r.Key, store.PrefixLease), Version: r.Version,
 			Holder: l.Holder, Token: l.Token, Duration: l.Duration,
 		})
 	}
+	return held, err
+}
+
+func (d *Duty) scanJobs(ctx context.Context, out *machine.Scanned) error {
+	found, err := store.ScanAll(ctx, d.opts.Table, store.PrefixJob)
 	for _, r := range found {
 		j, err := rows.DecodeJob(r.Value, r.Version)
 		if err != nil {
@@ -90,7 +101,7 @@
 		}
 		out.Jobs = append(out.Jobs, j)
 	}
-	return out
+	return err
 }
 
 func (d *Duty) readJob(ctx context.Context, id string) machine.Read {
