Let the pool keeper move VMs by demand

Cause: the wiring gave the planner no move at all (MaxMoves 0) and no demand reports, so pools kept their first VMs whatever their load. Ruled out: moves without a delay before the return: a peak that ends for a moment would cost two moves. Before: no moves.

--- a/daemon/process/controller.go
+++ b/daemon/process/controller.go
@@ -22,8 +22,15 @@
 	// on while the rest of the rack is failing.
 	pauseFor   = 30 * time.Second
 	adoptBatch = 32
+	demandPoll = 2 * time.Second
 )
 
+// movePolicy fills a deficit within seconds, since callers wait, and returns
+// VMs slowly: peaks last for minutes, and an early return costs two moves.
+var movePolicy = buffer.Config{
+	FillAfter: 5 * time.Second, ReturnAfter: 2 * time.Minute, Slack: 1, Group: 5 * time.Second, MaxMoves: 8,
+}
+
 // Controller is a controller process.
 type Controller struct {
 	base  *base
@@ -73,7 +80,8 @@
 		Config: poolkeeper.Config{
 			ID: set.ID, LeaseDuration: set.Controller.LeaseDuration, Reconcile: set.Controller.Reconcile,
 			RowLifetime: set.Membership.RowLifetime, DrainTimeout: set.Controller.DrainTimeout,
-			RebootTimeout: rebootTimeout, PauseFor: pauseFor, AdoptBatch: adoptBatch, Buffer: buffer.Config{},
+			RebootTimeout: rebootTimeout, PauseFor: pauseFor, AdoptBatch: adoptBatch,
+			DemandPoll: demandPoll, Buffer: movePolicy,
 		},
 		Timeout: fleetTimeoutCalls * set.Platform.Timeout, Workers: keeperWorkers,
 		Platform: b.platform, Gateways: peergateway.NewClient(b.dialer),
