Return the VMs of removed pools, halve heartbeats, measure the barrier

A pool that was removed from the configuration kept its VMs for ever, since only configured pools were reconciled. Such a pool now counts with a target of 0, and its VMs go to the spare pool like any surplus; a test removes a pool.

A heartbeat carried all members at all times. It now carries status changes, and 4 relayed beats when nothing has changed: 491 bytes of protobuf instead of 1,086 with 12 members (computed for one message of typical names, framing not included).

The virtual-time tests draw their traffic from the gateway's view, and the frozen holder sleeps 15 minutes instead of an hour; what they assert is unchanged.

--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -65,6 +65,7 @@
 
 	owners   map[string]ownerState
 	byPool   map[string][]string // index of owners; nil when it must be built again
+	pools    []structs.Pool      // see allPools; nil when it must be built again
 	absences map[string]AbsenceRow
 	leases   map[string]*leaseState
 	members  map[string]*memberState
@@ -126,7 +127,7 @@
 		m.seeMembers(e.View)
 	case ConfigSeen:
 		if e.Config.Generation > m.generation {
-			m.set, m.generation = &e.Config.Set, e.Config.Generation
+			m.set, m.generation, m.pools = &e.Config.Set, e.Config.Generation, nil
 		}
 	case RowsRead:
 		m.reading = false
@@ -190,8 +191,9 @@
 		m.refuseOrders("the controller has no configuration or has not read the platform yet")
 		return
 	}
-	for i := range m.set.Pools {
-		m.decideLease(now, m.set.Pools[i].Name)
+	pools := m.allPools()
+	for i := range pools {
+		m.decideLease(now, pools[i].Name)
 	}
 	if m.up(now) && m.holds(now, m.coordinator()) && now.Sub(m.planned) >= m.cfg.Reconcile/2 {
 		m.planned = now
@@ -199,9 +201,9 @@
 		m.adopt()
 		m.planMoves(now)
 	}
-	for i := range m.set.Pools {
-		if m.holds(now, m.set.Pools[i].Name) {
-			m.decidePool(now, &m.set.Pools[i])
+	for i := range pools {
+		if m.holds(now, pools[i].Name) {
+			m.decidePool(now, pools[i].Name)
 		}
 	}
 	m.beginMoves(now)
--- a/daemon/controller/poolkeeper/machine_test.go
+++ b/daemon/controller/poolkeeper/machine_test.go
@@ -90,6 +90,24 @@
 	require.NotEmpty(t, s.f.Rows(store.PrefixPlan))
 }
 
+// The VMs of a pool that is removed from the configuration must not be stuck
+// in it.
+func TestRemovedPoolGivesItsVMsBack(t *testing.T) {
+	set := testSet()
+	set.StopPlans = nil
+	s := newSim(1, 2, 2, set)
+	addVMs(s.f, 18)
+	require.True(t, s.run(time.Minute, func() bool { return len(s.owned("b")) == 5 }))
+	less := set
+	less.Pools = []structs.Pool{set.Pools[0], set.Pools[2]}
+	for _, n := range s.nodes {
+		s.deliver(n, ConfigSeen{Config: &structs.Config{Generation: 2, Set: less}})
+	}
+	require.True(t, s.run(10*time.Minute, func() bool { return len(s.owned("b")) == 0 }))
+	require.Len(t, s.owned("spare"), 10)
+	require.Empty(t, s.broken)
+}
+
 // A rise of the demand must bring VMs from the spare pool into the pool, up to
 // its Max, and a lasting fall must bring them back, down to its Min.
 func TestPoolFollowsDemand(t *testing.T) {
--- a/daemon/controller/poolkeeper/moves.go
+++ b/daemon/controller/poolkeeper/moves.go
@@ -43,9 +43,10 @@
 
 // poolStates describes all pools for package buffer.
 func (m *Machine) poolStates() []buffer.PoolState {
-	index := make(map[string]int, len(m.set.Pools))
-	states := make([]buffer.PoolState, len(m.set.Pools))
-	for i, p := range m.set.Pools {
+	pools := m.allPools()
+	index := make(map[string]int, len(pools))
+	states := make([]buffer.PoolState, len(pools))
+	for i, p := range pools {
 		target, ok := m.targets[p.Name]
 		if !ok {
 			target = p.Target
@@ -89,8 +90,8 @@
 }
 
 func (m *Machine) allFree() bool {
-	for i := range m.set.Pools {
-		if !m.free(poolSlot(m.set.Pools[i].Name)) {
+	for _, p := range m.allPools() {
+		if !m.free(poolSlot(p.Name)) {
 			return false
 		}
 	}
--- a/daemon/controller/poolkeeper/pool.go
+++ b/daemon/controller/poolkeeper/pool.go
@@ -26,6 +26,22 @@
 	return budget.New(pool, m.set.Budgets, vms, absences)
 }
 
+// allPools returns the configured pools and, with a target of 0, those that
+// still own VMs after they were removed from the configuration. Their VMs go
+// back to the spare pool like any surplus.
+func (m *Machine) allPools() []structs.Pool {
+	m.idsOf("") // builds the index if need be
+	if m.pools == nil {
+		m.pools = slices.Clone(m.set.Pools)
+		for _, name := range slices.Sorted(maps.Keys(m.byPool)) {
+			if m.set.Pool(name) == nil {
+				m.pools = append(m.pools, structs.Pool{Name: name})
+			}
+		}
+	}
+	return m.pools
+}
+
 func (m *Machine) describe(id string) structs.VM {
 	if vm, ok := m.known[id]; ok {
 		return vm
@@ -52,7 +68,7 @@
 // after a VM has changed its pool.
 func (m *Machine) idsOf(pool string) []string {
 	if m.byPool == nil {
-		m.byPool = map[string][]string{}
+		m.byPool, m.pools = map[string][]string{}, nil
 		for _, id := range slices.Sorted(maps.Keys(m.owners)) {
 			p := m.owners[id].Pool
 			m.byPool[p] = append(m.byPool[p], id)
@@ -63,28 +79,28 @@
 
 // decidePool reconciles one pool whose lease is held: what was begun goes on,
 // absences are recorded, and stop plans begin new stops.
-func (m *Machine) decidePool(now time.Time, p *structs.Pool) {
-	owned := m.ownedBy(p.Name)
+func (m *Machine) decidePool(now time.Time, pool string) {
+	owned := m.ownedBy(pool)
 	for _, o := range owned {
 		m.askGateways(now, o)
 		m.callReboot(now, o)
 	}
-	if !m.free(poolSlot(p.Name)) {
+	if !m.free(poolSlot(pool)) {
 		return
 	}
 	for _, o := range owned {
 		if c, ok := m.advance(now, o); ok {
-			c.Slot = poolSlot(p.Name)
+			c.Slot = poolSlot(pool)
 			m.change(c)
 			return
 		}
 	}
 	if m.up(now) {
-		if c, ok := m.bookAbsences(now, p.Name, owned); ok {
+		if c, ok := m.bookAbsences(now, pool, owned); ok {
 			m.change(c)
 			return
 		}
-		m.decidePlans(now, p.Name, owned)
+		m.decidePlans(now, pool, owned)
 	}
 }
 
--- a/daemon/controller/poolkeeper/race_test.go
+++ b/daemon/controller/poolkeeper/race_test.go
@@ -196,8 +196,8 @@
 	token := old.m.leases["a"].held.Token
 	late := old.m.owners[s.owned("a")[0].VM].Owner // decided before the pause, sent after it
 	late.Epoch, late.State, late.Reason = late.Epoch+1, structs.OwnerDraining, "late"
-	old.frozen = s.now.Add(time.Hour)
-	s.after(59*time.Minute, func() {
+	old.frozen = s.now.Add(15 * time.Minute)
+	s.after(14*time.Minute, func() {
 		s.whenAwake(old, func() { s.perform(old, Change{Slot: "late", Owners: []structs.Owner{late}}, s.now) })
 	})
 	takes := func() bool { return next.m.holds(s.now, "a") }
@@ -206,7 +206,7 @@
 		s.run(time.Second, func() bool { return false })
 		require.True(t, takes())
 	}
-	require.True(t, s.run(50*time.Minute, func() bool { return !next.m.plans["kernel-a"].Progress.Finished.IsZero() }))
+	require.True(t, s.run(11*time.Minute, func() bool { return !next.m.plans["kernel-a"].Progress.Finished.IsZero() }))
 	require.Greater(t, next.m.leases["a"].held.Token, token)
 	s.run(old.frozen.Sub(s.now)+10*time.Second, func() bool { return false })
 	require.False(t, s.now.Before(old.frozen))
--- a/daemon/controller/poolkeeper/sim_test.go
+++ b/daemon/controller/poolkeeper/sim_test.go
@@ -289,13 +289,9 @@
 
 // traffic begins a request of up to 3 s at a random VM.
 func (s *sim) traffic(g *gateway) {
-	owned := s.f.Rows(store.PrefixVM)
-	if g.dead || len(owned) == 0 {
-		return
-	}
-	id := owned[s.rng.IntN(len(owned))].Key[len(store.PrefixVM):]
+	id := fmt.Sprintf("vm%03d", s.rng.IntN(max(len(g.view), 1)))
 	o, ok := g.view[id]
-	if !ok || o.State != structs.OwnerActive || o.Epoch <= g.stopped[id] {
+	if g.dead || !ok || o.State != structs.OwnerActive || o.Epoch <= g.stopped[id] {
 		return
 	}
 	g.inFlight[id]++
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -57,6 +57,7 @@
 	SuspectAfter time.Duration // without news
 	RemoveAfter  time.Duration // after suspicion
 	MaxUpdates   int           // updates in one message
+	Relayed      int           // updates in one message when no status has changed
 	LocalHealth  bool          // a slow observer is slower to suspect others
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -15,7 +15,7 @@
 
 func ExampleView() {
 	now := time.Unix(0, 0)
-	cfg := Config{Interval: time.Second, Fanout: 3, SuspectAfter: 3 * time.Second, RemoveAfter: 5 * time.Second, MaxUpdates: 32}
+	cfg := Config{Interval: time.Second, Fanout: 3, SuspectAfter: 3 * time.Second, RemoveAfter: 5 * time.Second, MaxUpdates: 32, Relayed: 32}
 	rng := rand.New(rand.NewPCG(1, 1))
 	a := New(structs.Member{ID: "a", Incarnation: 1}, cfg, rng)
 	b := New(structs.Member{ID: "b", Incarnation: 1}, cfg, rng)
@@ -46,7 +46,7 @@
 
 var testConfig = Config{
 	Interval: 500 * time.Millisecond, Fanout: 3, SuspectAfter: 3 * time.Second,
-	RemoveAfter: 5 * time.Second, MaxUpdates: 64, LocalHealth: true,
+	RemoveAfter: 5 * time.Second, MaxUpdates: 64, Relayed: 4, LocalHealth: true,
 }
 
 func newCluster(seed uint64, n int, cfg Config) *cluster {
--- a/membership/view.go
+++ b/membership/view.go
@@ -77,7 +77,8 @@
 // Message returns what to tell the member with the given ID (empty if it is
 // not known). It holds at most MaxUpdates updates: first the member's own
 // entry if the member is not seen as alive, so that it can refute; then the
-// status changes told least often; then others at random.
+// status changes told least often; then others at random, as far as there are
+// not more than Relayed in all.
 func (v *View) Message(to string) Message {
 	m := Message{From: v.self, ConfigHash: v.hash}
 	rest := make([]*peer, 0, len(v.peers))
@@ -93,8 +94,8 @@
 	v.rng.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	limit := v.retransmit()
 	slices.SortStableFunc(rest, func(a, b *peer) int { return min(a.sent, limit) - min(b.sent, limit) })
-	for _, p := range rest {
-		if len(m.Updates) >= v.cfg.MaxUpdates {
+	for i, p := range rest {
+		if len(m.Updates) >= v.cfg.MaxUpdates || (p.sent >= limit && i >= v.cfg.Relayed) {
 			break
 		}
 		p.sent++
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -51,6 +51,9 @@
 const (
 	eventRing  = 256 // some rounds of all expected peers
 	maxUpdates = 64  // a message stays under about 10 KB
+	// Members are heard of directly within a few rounds; relayed beats only
+	// help across a link that is cut in one direction.
+	relayed = 4
 )
 
 // Duty is the membership duty.
@@ -122,7 +125,7 @@
 	self.Incarnation = uint64(time.Now().UnixMilli())
 	d.view = membership.New(self, membership.Config{
 		Interval: m.Interval, Fanout: m.Fanout, SuspectAfter: m.SuspectAfter, RemoveAfter: m.RemoveAfter,
-		MaxUpdates: maxUpdates, LocalHealth: true,
+		MaxUpdates: maxUpdates, Relayed: relayed, LocalHealth: true,
 	}, d.rng)
 	d.publish()
 	d.exchangeRows(ctx)
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -34,6 +34,7 @@
 	back     returns
 	failures int // still to come
 	failed   int
+	barrier  bool    // a domain begins only when the one before it is done
 	late     float64 // spread of the time that a stop takes
 }
 
@@ -92,7 +93,11 @@
 	in := Input{
 		Now: r.now, Plan: r.plan, Progress: r.progress, Absences: r.absences(), Ledger: ledger, PauseFor: pause,
 	}
+	first := r.firstDomain()
 	for _, vm := range r.vms {
+		if d, _ := budget.DomainOf(vm, r.plan.Order); r.barrier && d != first {
+			continue
+		}
 		if _, out := r.absent[vm.ID]; !out {
 			in.Ready = append(in.Ready, vm)
 		} else if !r.progress.IsDone(vm.ID) {
@@ -102,6 +107,17 @@
 	return Next(in)
 }
 
+// firstDomain returns the first domain that is not done.
+func (r *run) firstDomain() string {
+	first := ""
+	for _, vm := range r.vms {
+		if d, _ := budget.DomainOf(vm, r.plan.Order); !r.progress.IsDone(vm.ID) && (first == "" || d < first) {
+			first = d
+		}
+	}
+	return first
+}
+
 // broken counts the budget from scratch.
 func (r *run) broken() error {
 	if len(r.absent) > r.budget.MaxUnavailable {
@@ -233,12 +249,13 @@
 		name     string
 		failures int
 		late     float64
-	}{{"plain", 0, 0}, {"late", 0, 0.3}, {"failures", 3, 0}} {
+		barrier  bool
+	}{{"plain", 0, 0, false}, {"barrier", 0, 0, true}, {"late", 0, 0.3, false}, {"failures", 3, 0, false}} {
 		b.Run(mode.name, func(b *testing.B) {
 			sum, worst, n := 0.0, 0.0, 0
 			for seed := uint64(0); b.Loop(); seed++ {
 				r := newRun(seed, mode.failures)
-				r.budget.MinAvailable, r.late = 0, mode.late
+				r.budget.MinAvailable, r.late, r.barrier = 0, mode.late, mode.barrier
 				width := min(r.plan.Width, r.budget.MaxUnavailable)
 				took, err := r.all()
 				if err != nil {
