--- /dev/null
+++ b/cli/job_test.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/peer/operator"
+	"github.com/carobwharf/carobwharf/structs"
+)
+
+// oneJob is a handler that knows one job and loses the first answer.
+type oneJob struct {
+	operator.JobHandler
+	calls int
+	spec  structs.JobSpec
+}
+
+func (o *oneJob) SubmitJob(_ context.Context, s structs.JobSpec) (operator.JobReply, error) {
+	if o.calls++; o.calls == 1 {
+		return operator.JobReply{}, &operator.Error{Code: operator.CodeUnknown, Message: "lost"}
+	}
+	o.spec = s
+	return operator.JobReply{Job: structs.Job{Spec: s, State: structs.JobQueued}}, nil
+}
+
+func (o *oneJob) Jobs(_ context.Context, r operator.JobsRequest) (operator.JobsReply, error) {
+	return operator.JobsReply{More: true, Jobs: []structs.Job{{Spec: o.spec, State: structs.JobRunning, Cancel: true, Worker: r.Team}}}, nil
+}
+
+// A submission whose answer is lost must be repeated under the same id, and
+// the flags must reach the job.
+func TestJobCommands(t *testing.T) {
+	o := &oneJob{}
+	s, err := operator.NewServer(operator.Options{Addr: "127.0.0.1:0", Key: "0123456789abcdef", Timeout: time.Second,
+		Handler: struct{ operator.Handler }{}, Jobs: o})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); require.NoError(t, <-ended) })
+	t.Setenv(keyVariable, "0123456789abcdef")
+	out, _, code := run(t, "job", "submit", "--addr", s.Addr(), "--pool", "p", "--team", "t", "--class", "urgent",
+		"--cores", "2500", "--memory", "7", "--run-time", "90s", "--checkpoints", "a1")
+	require.Zero(t, code)
+	require.Contains(t, out, "queued")
+	require.Equal(t, structs.JobSpec{ID: "a1", Pool: "p", Team: "t", Class: structs.ClassUrgent, MilliCores: 2500,
+		MemoryMB: 7, RunTime: 90 * time.Second, Checkpoints: true}, o.spec)
+	out, _, code = run(t, "job", "list", "--addr", s.Addr(), "--team", "t")
+	require.Zero(t, code)
+	require.Contains(t, out, "running (cancelling)")
+	require.Contains(t, out, "--after a1")
+	_, _, code = run(t, "job", "status", "--addr", s.Addr())
+	require.Equal(t, ExitUsage, code)
+}
