Start the expiry duty and order the start of a gateway

Cause: expired idempotency records and dead member rows were never deleted, and a gateway could learn that a VM is active before its own member row made controllers wait for it in a drain. Ruled out: a fixed pause at the start instead of the signal from the membership duty. Change besides: both roles use the pool keeper's own defaults; an adoption takes at most 160 VMs, since 200 with the marks of 64 buckets exceed the 256 operations of a transaction.

--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -87,6 +87,10 @@
 	out []Action
 }
 
+// adoptBatch leaves room in a transaction for the marks of all 64 buckets, the
+// fleet's mark and the absence row.
+const adoptBatch = 160
+
 // ConfigFrom returns the configuration that the settings of a process give.
 // What is not a setting has the values below.
 func ConfigFrom(p settings.Process) Config {
@@ -94,7 +98,7 @@
 	return Config{
 		ID: p.ID, LeaseDuration: c.LeaseDuration, Reconcile: c.Reconcile, RowLifetime: p.Membership.RowLifetime,
 		DrainTimeout: c.DrainTimeout, RebootTimeout: 5 * time.Minute, PauseFor: 10 * time.Minute,
-		DemandPoll: 5 * time.Second, AdoptBatch: 200,
+		DemandPoll: 5 * time.Second, AdoptBatch: adoptBatch,
 		// A surplus is returned late: a peak that comes back soon would
 		// otherwise cost two moves for each VM.
 		Buffer: buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: 10 * time.Minute, Group: 5 * time.Second, MaxMoves: 16},
--- a/daemon/process/base.go
+++ b/daemon/process/base.go
@@ -111,8 +111,13 @@
 	if err := member.Register(b.server, view, configServer{watch.Current}); err != nil {
 		return fmt.Errorf("register the member service: %w", err)
 	}
+	var registered <-chan struct{}
+	if role == structs.RoleGateway {
+		registered = view.Registered()
+	}
 	fleet := vmview.New(vmview.Options{
-		Poll: b.set.View.FleetPoll, Timeout: fleetTimeoutCalls * b.set.Platform.Timeout,
+		After: registered,
+		Poll:  b.set.View.FleetPoll, Timeout: fleetTimeoutCalls * b.set.Platform.Timeout,
 		Table: b.platform, VMs: b.platform, Subscribers: b.subscribed.fleets,
 		Log: b.part("vmview"), Metrics: b.opts.Metrics,
 	})
--- a/daemon/process/controller.go
+++ b/daemon/process/controller.go
@@ -4,10 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
-	"github.com/carobwharf/carobwharf/buffer"
 	"github.com/carobwharf/carobwharf/daemon/controller"
+	"github.com/carobwharf/carobwharf/daemon/controller/expiry"
 	"github.com/carobwharf/carobwharf/daemon/controller/poolkeeper"
 	"github.com/carobwharf/carobwharf/duty"
 	peercontroller "github.com/carobwharf/carobwharf/peer/controller"
@@ -15,21 +14,7 @@
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-const (
-	keeperWorkers = 16
-	rebootTimeout = 5 * time.Minute // of a reboot ordered by an operator
-	// A failure of a rack shows within this time, so that a wave does not go
-	// on while the rest of the rack is failing.
-	pauseFor   = 30 * time.Second
-	adoptBatch = 32
-	demandPoll = 2 * time.Second
-)
-
-// movePolicy fills a deficit within seconds, since callers wait, and returns
-// VMs slowly: peaks last for minutes, and an early return costs two moves.
-var movePolicy = buffer.Config{
-	FillAfter: 5 * time.Second, ReturnAfter: 2 * time.Minute, Slack: 1, Group: 5 * time.Second, MaxMoves: 8,
-}
+const keeperWorkers = 16
 
 // Controller is a controller process.
 type Controller struct {
@@ -69,6 +54,7 @@
 	if err := b.addShared(structs.RoleController, inner.AdminAddr(), inner.Config(), inner.Add); err != nil {
 		return nil, err
 	}
+	inner.Add(duty.Duty{Name: "expiry", Run: newExpiry(b).Run})
 	inner.Add(duty.Duty{Name: "poolkeeper", Run: keeper.Run, Dump: keeper.Dump})
 	inner.Add(duty.Duty{Name: "jobs", Run: runner.Run, Dump: runner.Dump})
 	return &Controller{base: b, inner: inner}, nil
@@ -77,12 +63,7 @@
 func newKeeper(b *base, in views) (*poolkeeper.Duty, error) {
 	set := b.set
 	return poolkeeper.New(poolkeeper.Options{
-		Config: poolkeeper.Config{
-			ID: set.ID, LeaseDuration: set.Controller.LeaseDuration, Reconcile: set.Controller.Reconcile,
-			RowLifetime: set.Membership.RowLifetime, DrainTimeout: set.Controller.DrainTimeout,
-			RebootTimeout: rebootTimeout, PauseFor: pauseFor, AdoptBatch: adoptBatch,
-			DemandPoll: demandPoll, Buffer: movePolicy,
-		},
+		Config:  poolkeeper.ConfigFrom(set),
 		Timeout: fleetTimeoutCalls * set.Platform.Timeout, Workers: keeperWorkers,
 		Platform: b.platform, Gateways: peergateway.NewClient(b.dialer),
 		Fleet: in.fleets, Members: in.members, Configs: in.configs,
@@ -90,6 +71,13 @@
 	})
 }
 
+func newExpiry(b *base) *expiry.Duty {
+	o := expiry.DefaultOptions()
+	o.RowLifetime = b.set.Membership.RowLifetime
+	o.Table, o.Log, o.Metrics = b.platform, b.part("expiry"), b.opts.Metrics
+	return expiry.New(o)
+}
+
 // OperatorAddr returns the IP:port of the operators' API.
 func (c *Controller) OperatorAddr() string { return c.inner.OperatorAddr() }
 
