Reboot a VM only after its tasks have ended

Cause: the jobs duty checkpoints the tasks of a draining VM, but the pool keeper could reboot it before that was done. Ruled out: a wait without a bound: a worker that does not answer would hold a wave for good. After the drain timeout the reboot goes on; the task's lease and fencing token then lead to a second run that counts once. Before: no connection between both duties. After: TestRebootWaitsForTasks fails without the check and passes with it. Conclusion: planned stops wait for tasks as they do for requests.

--- a/daemon/controller/poolkeeper/calls.go
+++ b/daemon/controller/poolkeeper/calls.go
@@ -13,6 +13,9 @@
 	"github.com/carobwharf/carobwharf/structs"
 )
 
+// errTasksRunning delays a reboot until the tasks on the VM are checkpointed.
+var errTasksRunning = errors.New("tasks are still running on the VM")
+
 var errRowChanged = errors.New("the ownership row has changed")
 
 // perform carries out one action that blocks, and returns its result.
@@ -106,6 +109,9 @@
 func (d *Duty) reboot(ctx context.Context, r Reboot) error {
 	ctx, cancel := context.WithDeadline(ctx, r.Until)
 	defer cancel()
+	if d.opts.Busy != nil && !r.Force && d.opts.Busy(r.VM) != 0 {
+		return fmt.Errorf("reboot of %s: %w", r.VM, errTasksRunning)
+	}
 	row, err := d.opts.Platform.Get(ctx, store.KeyVM(r.VM))
 	if err != nil {
 		return fmt.Errorf("reboot of %s: %w", r.VM, err)
--- a/daemon/controller/poolkeeper/duty.go
+++ b/daemon/controller/poolkeeper/duty.go
@@ -29,11 +29,14 @@
 	Workers  int           // actions at the same time
 	Platform store.Platform
 	Gateways Gateways
-	Fleet    *ring.Ring[*structs.FleetView]  // KeepNewest, filled by the vmview duty
-	Members  *ring.Ring[*structs.MemberView] // KeepNewest, filled by the members duty
-	Configs  *ring.Ring[*structs.Config]     // KeepNewest, filled by the config duty
-	Log      hclog.Logger
-	Metrics  *metrics.Registry
+	// Busy returns the number of tasks on a VM, or -1 if that is not known yet.
+	// It is called from any goroutine; nil means that VMs run no tasks.
+	Busy    func(vm string) int
+	Fleet   *ring.Ring[*structs.FleetView]  // KeepNewest, filled by the vmview duty
+	Members *ring.Ring[*structs.MemberView] // KeepNewest, filled by the members duty
+	Configs *ring.Ring[*structs.Config]     // KeepNewest, filled by the config duty
+	Log     hclog.Logger
+	Metrics *metrics.Registry
 }
 
 const (
--- a/daemon/controller/poolkeeper/events.go
+++ b/daemon/controller/poolkeeper/events.go
@@ -130,11 +130,13 @@
 		Epoch   uint64
 	}
 	// Reboot reboots a VM, provided that its row still has the epoch. It is
-	// not begun after Until, the end of the lease.
+	// not begun after Until, the end of the lease. Without Force it also waits
+	// until no task runs on the VM.
 	Reboot struct {
 		VM    string
 		Epoch uint64
 		Until time.Time
+		Force bool // the tasks had the drain timeout to end
 	}
 	// Reply answers an order.
 	Reply struct {
--- a/daemon/controller/poolkeeper/race_test.go
+++ b/daemon/controller/poolkeeper/race_test.go
@@ -139,6 +139,32 @@
 	require.Equal(t, map[string]int{"v": 1}, f.Reboots())
 }
 
+// A reboot must not cut off tasks: it waits until they are checkpointed, for at
+// most the drain timeout.
+func TestRebootWaitsForTasks(t *testing.T) {
+	ctx := context.Background()
+	f := storetest.New(1)
+	tasks := map[string]int{"v": 1}
+	d := &Duty{opts: Options{
+		Platform: f, Timeout: time.Second, Busy: func(vm string) int { return tasks[vm] },
+		Log: hclog.NewNullLogger(), Metrics: metrics.New(),
+	}}
+	ops, err := Change{Owners: []structs.Owner{{VM: "v", Pool: "a", State: structs.OwnerRebooting, Epoch: 3}}}.ops()
+	require.NoError(t, err)
+	_, err = f.Commit(ctx, ops)
+	require.NoError(t, err)
+	call := Reboot{VM: "v", Epoch: 3, Until: time.Now().Add(time.Hour)}
+	require.ErrorIs(t, d.perform(ctx, call).(Rebooted).Err, errTasksRunning)
+	tasks["v"] = -1
+	require.ErrorIs(t, d.perform(ctx, call).(Rebooted).Err, errTasksRunning)
+	require.Empty(t, f.Reboots())
+	tasks["v"] = 0
+	require.NoError(t, d.perform(ctx, call).(Rebooted).Err)
+	tasks["v"], call.Force = 1, true
+	require.NoError(t, d.perform(ctx, call).(Rebooted).Err)
+	require.Len(t, f.Reboots(), 1)
+}
+
 // A failure in mid-wave must be counted against the budget and pause the plan;
 // when the VM is back, the plan goes on.
 func TestUnplannedAbsencePausesPlan(t *testing.T) {
--- a/daemon/controller/poolkeeper/reboot.go
+++ b/daemon/controller/poolkeeper/reboot.go
@@ -42,7 +42,7 @@
 		return
 	}
 	r.waiting = true
-	m.do(Reboot{VM: o.VM, Epoch: o.Epoch, Until: m.leases[o.Pool].held.Until()})
+	m.do(Reboot{VM: o.VM, Epoch: o.Epoch, Until: m.leases[o.Pool].held.Until(), Force: now.Sub(r.since) > m.cfg.DrainTimeout})
 }
 
 func (m *Machine) rebooted(now time.Time, e Rebooted) {
--- a/daemon/process/controller.go
+++ b/daemon/process/controller.go
@@ -29,14 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
-	keeper, err := newKeeper(b, in)
-	if err != nil {
-		return nil, fmt.Errorf("pool keeper duty: %w", err)
-	}
 	runner, err := newJobs(b, jobsIn)
 	if err != nil {
 		return nil, fmt.Errorf("jobs duty: %w", err)
 	}
+	keeper, err := newKeeper(b, in, runner.Busy)
+	if err != nil {
+		return nil, fmt.Errorf("pool keeper duty: %w", err)
+	}
 	peers := peercontroller.NewClient(b.dialer)
 	inner, err := controller.New(controller.Options{
 		Settings: b.set, Platform: b.platform, Log: o.Log, Metrics: o.Metrics, Version: o.Version,
@@ -60,13 +60,13 @@
 	return &Controller{base: b, inner: inner}, nil
 }
 
-func newKeeper(b *base, in views) (*poolkeeper.Duty, error) {
+func newKeeper(b *base, in views, busy func(vm string) int) (*poolkeeper.Duty, error) {
 	set := b.set
 	return poolkeeper.New(poolkeeper.Options{
 		Config:  poolkeeper.ConfigFrom(set),
 		Timeout: fleetTimeoutCalls * set.Platform.Timeout, Workers: keeperWorkers,
 		Platform: b.platform, Gateways: peergateway.NewClient(b.dialer),
-		Fleet: in.fleets, Members: in.members, Configs: in.configs,
+		Busy: busy, Fleet: in.fleets, Members: in.members, Configs: in.configs,
 		Log: b.part("poolkeeper"), Metrics: b.opts.Metrics,
 	})
 }
