Test drains with real reboots under load

Cause: that planned stops cut off nothing was proved in packages only. Ruled out: counting the callers' errors alone; the endpoint stand-in counts the requests that it was executing when it went down.

--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -60,12 +59,13 @@
 func newDeployment(t testing.TB, controllers, gateways int, endpointArgs ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, dir: t.TempDir(), balancer: newBalancer(t), timing: fastTiming}
-	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
 	args := []string{"standin", "endpoint", "--control", "127.0.0.1:0",
 		"--count", strconv.Itoa(vmCount), "--port", "0", "--mean", "20ms", "--sigma", "0.5",
-		"--service", "catalogue=legacy:chunked", "--service", "registry=legacy:close",
-		"--register", d.platform.addrs["listen"]}
+		"--service", "catalogue=legacy:chunked", "--service", "registry=legacy:close"}
 	d.endpoints = start(t, "endpoints", standinReady, append(args, endpointArgs...)...)
+	d.platform = start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0",
+		"--reboot-time", "1s", "--vm-lag", "500ms", "--endpoints", d.endpoints.addrs["listen"])
+	d.register()
 	for range controllers {
 		d.controllers = append(d.controllers, d.startController())
 	}
@@ -132,6 +132,22 @@
 	require.NoError(d.t, err)
 }
 
+// register gives the hosted endpoints to the platform as its VM list.
+func (d *deployment) register() {
+	var vms []structs.VM
+	d.control("/vms", &vms)
+	require.Len(d.t, vms, vmCount)
+	require.NoError(d.t, endpoint.Register(d.platform.addrs["listen"], vms))
+}
+
+// control reads a path of the endpoint stand-in's control address.
+func (d *deployment) control(path string, into any) {
+	resp, err := http.Get("http://" + d.endpoints.addrs["listen"] + path)
+	require.NoError(d.t, err)
+	defer resp.Body.Close()
+	require.NoError(d.t, json.NewDecoder(resp.Body).Decode(into))
+}
+
 // waitAdopted waits until every VM belongs to a pool.
 func (d *deployment) waitAdopted() {
 	client := d.platformClient()
@@ -192,13 +208,8 @@
 }
 
 func (d *deployment) effects() []history.Effect {
-	resp, err := http.Get("http://" + d.endpoints.addrs["listen"] + "/effects")
-	require.NoError(d.t, err)
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	require.NoError(d.t, err)
 	var log endpoint.Log
-	require.NoError(d.t, json.Unmarshal(body, &log))
+	d.control("/effects", &log)
 	require.Zero(d.t, log.Dropped)
 	out := make([]history.Effect, len(log.Effects))
 	for i, e := range log.Effects {
--- a/internal/systemtest/failure_test.go
+++ b/internal/systemtest/failure_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/history"
+	"github.com/carobwharf/carobwharf/peer/operator"
+	"github.com/carobwharf/carobwharf/standin/endpoint"
 )
 
 // Killing any process with SIGKILL must not run anything twice, report a false
@@ -91,6 +93,36 @@
 	}
 }
 
+// Operators drain VMs of every pool under load: no request in flight may be cut
+// off, none may fail, and no VM may be lost from its pool.
+func TestDrainsCutNothing(t *testing.T) {
+	d := newDeployment(t, 2, 3)
+	client := operator.NewClient(d.controllers[0].addrs["operators"], operatorKey)
+	drained := 0
+	result, report := d.load(10*time.Second, 15, func() {
+		for _, vm := range d.vms()[:12] {
+			_, err := client.Drain(t.Context(), operator.DrainRequest{VM: vm.ID, Reason: "systemtest"})
+			if err == nil {
+				drained++ // otherwise the budget or another move forbids it now
+			}
+			time.Sleep(400 * time.Millisecond)
+		}
+	})
+	requireNoFindings(t, report)
+	require.Positive(t, drained)
+	var totals []endpoint.Totals
+	d.control("/state", &totals)
+	require.Len(t, totals, vmCount)
+	for _, e := range totals {
+		require.Zero(t, e.CutOff, "requests on %s were cut off", e.VM)
+	}
+	for _, s := range result.Services {
+		require.Zero(t, s.Errors, "%s: calls without an answer", s.Service)
+		require.Zero(t, s.NotRun, "%s: calls refused", s.Service)
+	}
+	t.Logf("%d VMs drained and rebooted", drained)
+}
+
 func requireNoFindings(t *testing.T, r *history.Report) {
 	t.Helper()
 	require.Empty(t, r.Findings)
