Publish the first member view only after joining

Cause: a gateway that has just started knows only itself and would take all slots of the endpoints; and the demo started its load before the gateways had read the owners of the VMs, so that the first 0.45 s of requests waited and then exceeded the slots (99 to 105 refusals in 10 s). Ruled out: the stop plan's reboots, which the figures by 200 ms steps excluded: all refusals fell into the first 0.6 s. Conclusion: the first view waits for an answer of a peer, or for four rounds if nobody answers.

--- a/daemon/process/gateway.go
+++ b/daemon/process/gateway.go
@@ -121,6 +121,23 @@
 // Ready reports whether the process takes new requests.
 func (g *Gateway) Ready() bool { return !g.draining.Load() && g.data.Ready() }
 
+// Members returns the number of live processes in this gateway's view.
+func (g *Gateway) Members() int {
+	if v := g.base.seen.members.Load(); v != nil {
+		return len(v.Live)
+	}
+	return 0
+}
+
+// OwnedVMs returns the number of VMs that belong to a pool in this gateway's
+// view.
+func (g *Gateway) OwnedVMs() int {
+	if v := g.base.seen.fleet.Load(); v != nil {
+		return len(v.Owners)
+	}
+	return 0
+}
+
 // Generation returns the configuration generation in force, 0 for none.
 func (g *Gateway) Generation() uint64 {
 	if c := g.watch.Current(); c != nil {
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -150,8 +150,8 @@
 	return nil
 }
 
-// waitReady waits until every gateway has a configuration and a fleet, and
-// every VM has an owner.
+// waitReady waits until every gateway has a configuration and knows the fleet
+// and all processes, and every VM has an owner.
 func (d *deployment) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -172,11 +172,12 @@
 
 func (d *deployment) ready() bool {
 	for _, g := range d.gateways {
-		if !g.Ready() || g.Generation() == 0 {
+		members := len(d.gateways) + len(d.controllers)
+		if !g.Ready() || g.Generation() == 0 || g.Members() < members || g.OwnedVMs() < vmCount {
 			return false
 		}
 	}
-	return len(d.platform.Rows("vm/")) == vmCount
+	return true
 }
 
 // stop ends the processes, keeps the effects and ends the stand-ins.
--- a/node/members/events.go
+++ b/node/members/events.go
@@ -34,6 +34,7 @@
 func (e answered) apply(d *Duty, now time.Time) {
 	if e.err == nil {
 		d.opts.Metrics.Counter("members.answered").Inc(1)
+		d.joined = true
 		d.view.Answered(now, e.message)
 		d.noteConfig(e.message)
 		return
@@ -58,6 +59,7 @@
 		return
 	}
 	d.rows = e.members
+	d.joined = d.joined || (len(d.rows) == 0 && len(d.opts.Seeds) == 0)
 	if !d.registered {
 		d.registered = true
 		close(d.written)
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -49,6 +49,7 @@
 }
 
 const (
+	joinRounds = 4   // before a process takes it that it is alone
 	eventRing  = 256 // some rounds of all expected peers
 	maxUpdates = 64  // a message stays under about 10 KB
 	// Members are heard of directly within a few rounds; relayed beats only
@@ -67,6 +68,8 @@
 	shown      uint64           // version of the view that was published last
 	rowBusy    bool             // a row call is running
 	registered bool             // the own row was written
+	joined     bool             // a peer answered, or there is none
+	rounds     int              // since the start, until joined
 	written    chan struct{}    // closed when the own row was written for the first time
 }
 
@@ -133,6 +136,7 @@
 }
 
 func (d *Duty) round(ctx context.Context) {
+	d.rounds++
 	targets := d.view.Tick(time.Now())
 	for _, t := range targets {
 		d.send(ctx, t.Addr, t.ID)
@@ -171,7 +175,14 @@
 	return out[:min(n, len(out))]
 }
 
+// publish shows a new view to the subscribers. The first one waits until the
+// process has joined: a gateway that thinks that it is alone would take all
+// slots of the endpoints for itself. If no peer answers, it waits for a few
+// rounds only, so that a process also starts when all others are gone.
 func (d *Duty) publish() {
+	if !d.joined && d.rounds < joinRounds {
+		return
+	}
 	if d.view.Version() == d.shown {
 		return
 	}
