End the hold time when a controller returns a VM

The stop plan of pool counter reboots two VMs every 3 s there, and gateways kept each drained VM out of use for the 30 s hold time after its return, so after 18 s the pool had no VM, while the budget counted 10. Ruled out: the connection share of a new gateway and a lagging VM list; the log shows each return after the VM was back in the list. Change: an ownership row that is active at a later epoch than all epochs known during the hold time ends it. Other signs that a VM lives still do not; TestFlappingSignsDoNotShortenTheHold is unchanged.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -169,6 +169,31 @@
 	}
 }
 
+// A VM that its controller returns after a drain must be in use at once. With a
+// hold time of 30 s beyond the drain, fast reboots took all VMs of a pool out of
+// use while the budget counted them as available.
+func TestReturnAfterDrainEndsTheHold(t *testing.T) {
+	s := newSet(2, 1)
+	at := func(state structs.OwnerState, epoch uint64) *structs.FleetView {
+		v := view(2, 1)
+		v.Owners[0].State, v.Owners[0].Epoch = state, epoch
+		return v
+	}
+	update := func(after time.Duration, v *structs.FleetView) bool {
+		s.Update(start.Add(after), View{Fleet: v, Count: 1})
+		s.Advance(start.Add(after))
+		return s.Open(s.Lookup("vm00000"))
+	}
+	require.True(t, update(0, at(structs.OwnerActive, 4)))
+	s.Drain(start, "vm00000", 5)
+	require.False(t, update(time.Second, at(structs.OwnerActive, 4)), "a view from before the drain")
+	require.False(t, update(2*time.Second, at(structs.OwnerDraining, 5)))
+	require.False(t, update(3*time.Second, at(structs.OwnerRebooting, 6)))
+	require.True(t, update(4*time.Second, at(structs.OwnerActive, 7)))
+	s.Leave(start.Add(5*time.Second), s.Lookup("vm00000"))
+	require.False(t, update(6*time.Second, at(structs.OwnerActive, 7)), "a sign after the return")
+}
+
 // Declared sizes are far off: the limit must come down to what an endpoint
 // takes, and go up to it, without refusals in more than a few requests.
 func TestLimitFollowsTheRealSize(t *testing.T) {
--- a/dispatch/leave.go
+++ b/dispatch/leave.go
@@ -8,7 +8,7 @@
 
 // Drain stops new work to a VM by order of a controller and returns the
 // number of requests in flight. The VM is used again only when its ownership
-// row has a later epoch, and not before the hold time.
+// row has a later epoch.
 func (s *Set) Drain(now time.Time, vm string, epoch uint64) int {
 	id := s.ensure(vm) // the order may come before the first view of the VM
 	e := &s.endpoints[id]
@@ -47,6 +47,7 @@
 func (s *Set) hold(now time.Time, id Endpoint) {
 	e := &s.endpoints[id]
 	e.heldUntil = now.Add(s.opts.LeaveHold)
+	e.holdEpoch = max(e.holdEpoch, e.owner.Epoch, e.drainEpoch)
 	if !e.isHeld {
 		e.isHeld = true
 		s.held = append(s.held, id)
@@ -54,6 +55,16 @@
 	s.nextEnd = earlier(s.nextEnd, e.heldUntil)
 }
 
+// endHold ends the hold time of an endpoint whose ownership row is active at a
+// later epoch than all that were known during it: the controller has seen the
+// VM live after the drain. A hold time that outlasts the drain would take more
+// VMs out of use than the pool's budget allows.
+func (e *endpoint) endHold(now time.Time) {
+	if e.owner.State == structs.OwnerActive && e.owner.Epoch > e.holdEpoch && now.Before(e.heldUntil) {
+		e.heldUntil = now
+	}
+}
+
 // Advance returns endpoints whose hold time has ended.
 func (s *Set) Advance(now time.Time) {
 	kept := s.held[:0]
--- a/dispatch/set.go
+++ b/dispatch/set.go
@@ -46,6 +46,7 @@
 	heldUntil    time.Time
 	isHeld       bool   // listed in Set.held
 	drainEpoch   uint64 // the owner's epoch must exceed it
+	holdEpoch    uint64 // latest epoch known when the hold time began
 	staleVersion uint64 // owner version that the platform has refuted
 
 	ejected   bool
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -39,6 +39,7 @@
 		if len(owners) > 0 && owners[0].VM == vm.ID {
 			e.owner = owners[0]
 		}
+		e.endHold(now)
 		e.setShare(SlotShare(vm.Slots, i, v.Rank, v.Count))
 		s.readSigns(now, id)
 	}
