Share one in-memory table among the platforms of tests

Cause: three lanes wrote the same transactional table for their tests. Ruled out: one fake for all: their faults differ on purpose (a function of the call, counters, seeded probabilities). Conclusion: a change of the store contract has one place in the fakes.

--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -6,9 +6,9 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync/atomic"
 
+	"github.com/carobwharf/carobwharf/internal/memtable"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -37,16 +37,15 @@
 }
 
 type state struct {
-	rows    map[string]store.Row
+	table   *memtable.Table
 	objects map[string][]byte
-	version uint64 // last version given; shared by all rows, so that none is reused
 }
 
 // New returns an empty platform. It runs until ctx ends.
 func New(ctx context.Context) *Platform {
 	p := &Platform{calls: make(chan func(*state))}
 	go func() {
-		s := &state{rows: map[string]store.Row{}, objects: map[string][]byte{}}
+		s := &state{table: memtable.New(), objects: map[string][]byte{}}
 		for {
 			select {
 			case <-ctx.Done():
@@ -79,7 +78,7 @@
 	p.Reads.Add(1)
 	var row store.Row
 	var found bool
-	if err := p.do(ctx, func(s *state) { row, found = s.rows[key] }); err != nil {
+	if err := p.do(ctx, func(s *state) { row, found = s.table.Get(key) }); err != nil {
 		return row, err
 	}
 	if !found {
@@ -92,15 +91,8 @@
 func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	p.Reads.Add(1)
 	var out []store.Row
-	err := p.do(ctx, func(s *state) {
-		for key, row := range s.rows {
-			if strings.HasPrefix(key, prefix) && key > after {
-				out = append(out, row)
-			}
-		}
-	})
-	slices.SortFunc(out, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
-	return out[:min(limit, len(out))], err
+	err := p.do(ctx, func(s *state) { out = s.table.Scan(prefix, after, limit) })
+	return out, err
 }
 
 // Commit implements store.Table.
@@ -113,7 +105,7 @@
 	}
 	var versions []uint64
 	var failed error
-	if err := p.do(ctx, func(s *state) { versions, failed = s.commit(ops) }); err != nil {
+	if err := p.do(ctx, func(s *state) { versions, failed = s.table.Commit(ops) }); err != nil {
 		return nil, err
 	}
 	if failed != nil {
@@ -126,45 +118,6 @@
 	return versions, nil
 }
 
-func (s *state) commit(ops []store.Op) ([]uint64, error) {
-	var conflict store.ConflictError
-	for _, op := range ops {
-		if !s.holds(op) {
-			conflict.Keys = append(conflict.Keys, op.Key)
-		}
-	}
-	if len(conflict.Keys) > 0 {
-		return nil, &conflict
-	}
-	versions := make([]uint64, len(ops))
-	for i, op := range ops {
-		switch op.Kind {
-		case store.OpDelete:
-			delete(s.rows, op.Key)
-		case store.OpCheck:
-		default:
-			s.version++
-			versions[i] = s.version
-			s.rows[op.Key] = store.Row{Key: op.Key, Version: s.version, Value: slices.Clone(op.Value)}
-		}
-	}
-	return versions, nil
-}
-
-func (s *state) holds(op store.Op) bool {
-	version := s.rows[op.Key].Version // 0 if the row does not exist
-	switch op.Kind {
-	case store.OpInsert:
-		return version == 0
-	case store.OpPut:
-		return true
-	case store.OpCheck:
-		return version == op.Expect
-	default:
-		return version == op.Expect && version != 0
-	}
-}
-
 // PutObject implements store.Objects.
 func (p *Platform) PutObject(ctx context.Context, name string, data []byte) error {
 	if err := p.do(ctx, func(s *state) { s.objects[name] = slices.Clone(data) }); err != nil {
--- a/internal/memstore/memstore.go
+++ b/internal/memstore/memstore.go
@@ -5,9 +5,8 @@
 import (
 	"context"
 	"fmt"
-	"sort"
-	"strings"
 
+	"github.com/carobwharf/carobwharf/internal/memtable"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -34,9 +33,8 @@
 // Store is a store.Platform in memory. It may be used by several goroutines.
 type Store struct {
 	lock    chan struct{} // holds one token; whoever takes it owns the fields
-	rows    map[string]store.Row
+	table   *memtable.Table
 	objects map[string][]byte
-	next    uint64
 	fault   func(Call) Fault
 	commits int
 }
@@ -45,7 +43,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	s := &Store{lock: make(chan struct{}, 1), rows: map[string]store.Row{}, objects: map[string][]byte{}}
+	s := &Store{lock: make(chan struct{}, 1), table: memtable.New(), objects: map[string][]byte{}}
 	s.lock <- struct{}{}
 	return s
 }
@@ -68,7 +66,7 @@
 
 // Row returns a row without any fault; ok is false if it does not exist.
 func (s *Store) Row(key string) (row store.Row, ok bool) {
-	s.owned(func() { row, ok = s.rows[key] })
+	s.owned(func() { row, ok = s.table.Get(key) })
 	return row, ok
 }
 
@@ -99,7 +97,7 @@
 func (s *Store) Get(ctx context.Context, key string) (row store.Row, err error) {
 	err = s.call(ctx, Call{Name: "get", Key: key}, func() error {
 		var ok bool
-		if row, ok = s.rows[key]; !ok {
+		if row, ok = s.table.Get(key); !ok {
 			return fmt.Errorf("row %s: %w", key, store.ErrNotFound)
 		}
 		return nil
@@ -110,13 +108,7 @@
 // Scan returns rows in key order.
 func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) (rows []store.Row, err error) {
 	err = s.call(ctx, Call{Name: "scan", Key: prefix}, func() error {
-		for k, r := range s.rows {
-			if strings.HasPrefix(k, prefix) && k > after {
-				rows = append(rows, r)
-			}
-		}
-		sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-		rows = rows[:min(limit, len(rows))]
+		rows = s.table.Scan(prefix, after, limit)
 		return nil
 	})
 	return rows, err
@@ -125,11 +117,11 @@
 // Commit applies a transaction.
 func (s *Store) Commit(ctx context.Context, ops []store.Op) (versions []uint64, err error) {
 	err = s.call(ctx, Call{Name: "commit", Ops: ops}, func() error {
-		if bad := s.conflicts(ops); len(bad) > 0 {
-			return &store.ConflictError{Keys: bad}
+		var err error
+		if versions, err = s.table.Commit(ops); err == nil {
+			s.commits++
 		}
-		versions = s.apply(ops)
-		return nil
+		return err
 	})
 	if err != nil {
 		return nil, err
@@ -137,43 +129,6 @@
 	return versions, nil
 }
 
-func (s *Store) conflicts(ops []store.Op) (bad []string) {
-	for _, op := range ops {
-		row, ok := s.rows[op.Key]
-		switch op.Kind {
-		case store.OpInsert:
-			ok = !ok
-		case store.OpUpdate, store.OpDelete:
-			ok = ok && row.Version == op.Expect
-		case store.OpCheck:
-			ok = row.Version == op.Expect
-		default:
-			ok = true
-		}
-		if !ok {
-			bad = append(bad, op.Key)
-		}
-	}
-	return bad
-}
-
-func (s *Store) apply(ops []store.Op) []uint64 {
-	s.commits++
-	versions := make([]uint64, len(ops))
-	for i, op := range ops {
-		switch op.Kind {
-		case store.OpCheck:
-		case store.OpDelete:
-			delete(s.rows, op.Key)
-		default:
-			s.next++
-			versions[i] = s.next
-			s.rows[op.Key] = store.Row{Key: op.Key, Version: s.next, Value: op.Value}
-		}
-	}
-	return versions
-}
-
 // PutObject writes an object.
 func (s *Store) PutObject(ctx context.Context, name string, data []byte) error {
 	return s.call(ctx, Call{Name: "put", Key: name}, func() error {
--- a/internal/storetest/fake.go
+++ b/internal/storetest/fake.go
@@ -6,10 +6,9 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
+	"github.com/carobwharf/carobwharf/internal/memtable"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -32,8 +31,7 @@
 type state struct {
 	rng      *rand.Rand
 	faults   Faults
-	rows     map[string]store.Row
-	version  uint64
+	table    *memtable.Table
 	objects  map[string][]byte
 	vms      map[string]structs.VM
 	down     map[string]time.Time // rebooting VMs and when they return
@@ -47,8 +45,8 @@
 func New(seed uint64) *Fake {
 	f := &Fake{state: make(chan *state, 1)}
 	f.state <- &state{
-		rng:  rand.New(rand.NewPCG(seed, seed)),
-		rows: map[string]store.Row{}, objects: map[string][]byte{}, vms: map[string]structs.VM{},
+		rng:   rand.New(rand.NewPCG(seed, seed)),
+		table: memtable.New(), objects: map[string][]byte{}, vms: map[string]structs.VM{},
 		down: map[string]time.Time{}, reboots: map[string]int{},
 	}
 	return f
@@ -86,7 +84,7 @@
 
 // Rows returns the rows with the prefix, by key.
 func (f *Fake) Rows(prefix string) (out []store.Row) {
-	f.with(func(s *state) { out = s.scan(prefix, "", len(s.rows)) })
+	f.with(func(s *state) { out = s.table.Scan(prefix, "", len(s.table.Rows())) })
 	return out
 }
 
@@ -122,18 +120,3 @@
 	}
 	return err
 }
-
-func (s *state) scan(prefix, after string, limit int) []store.Row {
-	var keys []string
-	for k := range s.rows {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	var out []store.Row
-	for _, k := range keys[:min(limit, len(keys))] {
-		out = append(out, s.rows[k])
-	}
-	return out
-}
--- a/internal/storetest/platform.go
+++ b/internal/storetest/platform.go
@@ -18,7 +18,7 @@
 	}
 	f.with(func(s *state) {
 		var ok bool
-		if row, ok = s.rows[key]; !ok {
+		if row, ok = s.table.Get(key); !ok {
 			err = store.ErrNotFound
 		}
 	})
@@ -30,7 +30,7 @@
 	if err := f.enter(ctx); err != nil {
 		return nil, err
 	}
-	f.with(func(s *state) { out = s.scan(prefix, after, limit) })
+	f.with(func(s *state) { out = s.table.Scan(prefix, after, limit) })
 	return out, nil
 }
 
@@ -57,46 +57,17 @@
 }
 
 func (s *state) commit(ops []store.Op) ([]uint64, error) {
-	var failed []string
-	for _, op := range ops {
-		if !s.holds(op) {
-			failed = append(failed, op.Key)
-		}
-	}
-	if len(failed) > 0 {
-		return nil, &store.ConflictError{Keys: failed}
-	}
-	versions := make([]uint64, len(ops))
-	for i, op := range ops {
-		switch op.Kind {
-		case store.OpDelete:
-			delete(s.rows, op.Key)
-		case store.OpInsert, store.OpUpdate, store.OpPut:
-			s.version++
-			versions[i] = s.version
-			s.rows[op.Key] = store.Row{Key: op.Key, Version: s.version, Value: bytes.Clone(op.Value)}
-		}
+	versions, err := s.table.Commit(ops)
+	if err != nil {
+		return nil, err
 	}
 	s.commits++
 	if s.onCommit != nil {
-		s.onCommit(s.rows, ops)
+		s.onCommit(s.table.Rows(), ops)
 	}
 	return versions, nil
 }
 
-func (s *state) holds(op store.Op) bool {
-	version := s.rows[op.Key].Version
-	switch op.Kind {
-	case store.OpInsert:
-		return version == 0
-	case store.OpUpdate, store.OpDelete:
-		return version == op.Expect && version != 0
-	case store.OpCheck:
-		return version == op.Expect
-	}
-	return true
-}
-
 // PutObject implements store.Objects.
 func (f *Fake) PutObject(ctx context.Context, name string, data []byte) error {
 	if err := f.enter(ctx); err != nil {
