Print progress in the demo and take the log format as a flag

Cause: the demo said nothing for 10 s, and changing the log format needed another settings file. Ruled out: progress from the load generator's record, which other users of the package do not want printed.

--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -40,12 +40,16 @@
 	file := cmd.Flags().String("settings", "", "settings file (required)")
 	_ = cmd.MarkFlagRequired("settings")                        // fails only for an unknown flag
 	_ = cmd.RegisterFlagCompletionFunc("settings", completeINI) // fails only for an unknown flag
+	format := cmd.Flags().String("log-format", "", "log format, text or json (default: that of the settings)")
 	cmd.Args = usageArgs(cobra.NoArgs)
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		s, err := settings.ReadProcess(*file)
 		if err != nil {
 			return usageError(err)
 		}
+		if *format != "" {
+			s.Log.Format = *format
+		}
 		log, err := logging.New(logging.Options{Level: s.Log.Level, Format: logging.Format(s.Log.Format), Output: cmd.ErrOrStderr()})
 		if err != nil {
 			return usageError(err)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/configcheck"
+	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/history"
 	"github.com/carobwharf/carobwharf/load"
 	"github.com/carobwharf/carobwharf/settings"
@@ -55,6 +56,7 @@
 func (r *Result) Clean() bool { return len(r.Report.Findings) == 0 && len(r.Once) == 0 }
 
 const (
+	reportInterval   = 2 * time.Second
 	startTimeout     = 20 * time.Second
 	linearizeTimeout = 10 * time.Second // of one key
 )
@@ -80,7 +82,13 @@
 	fmt.Fprintf(o.Out, "deployment is up: %d gateways, %d controllers, %d VMs, configuration generation %d\n",
 		len(d.gateways), len(d.controllers), len(d.endpoints.VMs()), d.gateways[0].Generation())
 	var recorded bytes.Buffer
+	progress := duty.NewSupervisor()
+	progress.Add(duty.Duty{Name: "progress", Run: func(ctx context.Context) error { return d.report(ctx, o.Out) }})
+	progress.Start(ctx)
 	result, err := load.Run(ctx, d.callers, load.Options{Mix: mix, Seed: o.Seed, Length: o.Length, History: &recorded})
+	if stopErr := progress.Stop(ctx); err == nil {
+		err = stopErr
+	}
 	if err != nil {
 		d.stop()
 		return nil, fmt.Errorf("load: %w", err)
@@ -91,6 +99,21 @@
 	return check(result, &recorded, d)
 }
 
+// report prints a line on the calls so far every two seconds.
+func (d *deployment) report(ctx context.Context, out io.Writer) error {
+	tick := time.NewTicker(reportInterval)
+	defer tick.Stop()
+	for start := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			fmt.Fprintf(out, "%3.0f s: %d done, %d not run, %d unknown\n", time.Since(start).Seconds(),
+				d.callers.done.Load(), d.callers.notRun.Load(), d.callers.unknown.Load())
+		}
+	}
+}
+
 func check(result *load.Result, recorded io.Reader, d *deployment) (*Result, error) {
 	h, err := history.Read(recorded)
 	if err != nil {
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -204,9 +204,21 @@
 type balancer struct {
 	clients []*caller.Client
 	next    atomic.Uint64
+	done    atomic.Int64
+	notRun  atomic.Int64
+	unknown atomic.Int64 // calls without an answer included
 }
 
 // Call sends the request through the next gateway.
 func (b *balancer) Call(ctx context.Context, req *structs.Request) (structs.Answer, error) {
-	return b.clients[b.next.Add(1)%uint64(len(b.clients))].Call(ctx, req)
+	answer, err := b.clients[b.next.Add(1)%uint64(len(b.clients))].Call(ctx, req)
+	switch {
+	case err == nil && answer.Outcome == structs.OutcomeDone:
+		b.done.Add(1)
+	case err == nil && answer.Outcome == structs.OutcomeNotRun:
+		b.notRun.Add(1)
+	default:
+		b.unknown.Add(1)
+	}
+	return answer, err
 }
