Forecast demand with a trend instead of a slow fall

Cause: the forecast added twice its mean absolute error, and the error counted the falls after each peak, which its slowly falling level made large. Change: double exponential smoothing; the upper bound is the level, its rise until a VM asked for now serves, and the mean error, and not below the bound of the interval before. The pool keeper uses 90% instead of 80% utilisation and returns VMs after 2 instead of 10 minutes.

--- a/buffer/demand.go
+++ b/buffer/demand.go
@@ -19,39 +19,51 @@
 	return float64(d.InFlight) * min(max(scale, 1), maxScale)
 }
 
-// Forecast follows the load of one pool. The zero value knows nothing.
+// Forecast follows the load of one pool by double exponential smoothing: a
+// level and a trend for each interval. The zero value knows nothing.
 type Forecast struct {
-	level  float64 // smoothed load in slots
-	spread float64 // smoothed absolute error of the forecast
-	seen   bool
+	level    float64 // smoothed load in slots
+	trend    float64 // smoothed change of the level in slots per interval
+	spread   float64 // smoothed absolute error of the forecast for the next interval
+	previous float64 // Upper before the last observation
+	seen     bool
 }
 
-// Weights of a new observation. The level follows a rise at once in part and a
-// fall slowly, since a missing VM costs requests and a spare one does not.
+// Weights of a new observation. The level follows the load quickly in both
+// directions: the planner's hold times keep VMs through short falls, and a slow
+// fall would keep every VM of a peak for minutes.
 const (
-	riseWeight   = 0.5
-	fallWeight   = 0.05
+	levelWeight  = 0.5
+	trendWeight  = 0.3
 	spreadWeight = 0.1
 )
 
+// lead is the number of intervals after which a VM that is asked for now
+// serves: a deficit has to last, and a move takes a drain and an admission.
+const lead = 4
+
 // Observe takes in the load of one interval, in slots.
 func (f *Forecast) Observe(load float64) {
 	if !f.seen {
 		f.level, f.seen = load, true
 		return
 	}
-	miss := load - f.level
+	f.previous = f.upper()
+	expected := f.level + f.trend
+	miss := load - expected
 	f.spread += spreadWeight * (math.Abs(miss) - f.spread)
-	if miss > 0 {
-		f.level += riseWeight * miss
-	} else {
-		f.level += fallWeight * miss
-	}
+	level := expected + levelWeight*miss
+	f.trend += trendWeight * (level - f.level - f.trend)
+	f.level = level
 }
 
-// Upper returns a load that is seldom exceeded: the level plus twice its mean
-// absolute error.
-func (f *Forecast) Upper() float64 { return f.level + 2*f.spread }
+// Upper returns a load that is seldom exceeded when a VM asked for now begins
+// to serve: the level, its rise until then, and the mean absolute error. A
+// falling trend is not used, and a single quiet interval does not lower it:
+// both would cost requests where they are wrong.
+func (f *Forecast) Upper() float64 { return max(f.upper(), f.previous) }
+
+func (f *Forecast) upper() float64 { return f.level + lead*max(f.trend, 0) + f.spread }
 
 // Target returns the number of VMs that a pool needs for a load in slots when
 // each VM has slots and is to be busy to the fraction utilisation, between the
--- a/daemon/controller/poolkeeper/demand.go
+++ b/daemon/controller/poolkeeper/demand.go
@@ -7,9 +7,10 @@
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-// Fraction of a pool's slots that are to be busy at the forecast load. At 80%
-// the wait for a free slot is still short.
-const utilisation = 0.8
+// Fraction of a pool's slots that are to be busy at the forecast load, which has
+// a margin for its error already. 0.8 holds 37% more spare hours for 0.08% less
+// lost demand (bench buffer).
+const utilisation = 0.9
 
 // demandState collects the gateways' reports of one round.
 type demandState struct {
--- a/daemon/controller/poolkeeper/machine.go
+++ b/daemon/controller/poolkeeper/machine.go
@@ -101,7 +101,7 @@
 		DemandPoll: 5 * time.Second, AdoptBatch: adoptBatch,
 		// A surplus is returned late: a peak that comes back soon would
 		// otherwise cost two moves for each VM.
-		Buffer: buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: 10 * time.Minute, Group: 5 * time.Second, MaxMoves: 16},
+		Buffer: buffer.Config{FillAfter: 5 * time.Second, ReturnAfter: 2 * time.Minute, Group: 5 * time.Second, MaxMoves: 16},
 	}
 }
 
