--- a/daemon/controller/jobs/machine/doc.go
+++ b/daemon/controller/jobs/machine/doc.go
@@ -2,7 +2,7 @@
 // where, when leases are renewed and what each job's row says next. Package
 // placement chooses the workers.
 //
-// The row of a job is the truth. The machine keeps, for each job of a pool
+// The row of a job is authoritative. The machine keeps, for each job of a pool
 // whose lease it holds, the row as last read or written and the row that it
 // wants. It writes the difference under the condition that the row has not
 // changed. A worker is called only for a run that the row names, with the
--- a/daemon/controller/poolkeeper/reboot.go
+++ b/daemon/controller/poolkeeper/reboot.go
@@ -29,7 +29,7 @@
 
 // callReboot asks the platform for the reboot. After a change of the holder it
 // is not known whether the VM was rebooted: one that is missing was, one that
-// is live is rebooted again, which harms nobody since it is drained.
+// is live is rebooted again, which is harmless, since it is drained.
 func (m *Machine) callReboot(now time.Time, o structs.Owner) {
 	if o.State != structs.OwnerRebooting {
 		return
--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -41,6 +41,8 @@
 	seeds               []string
 	started             int
 	timing              string // end of each settings file
+	loss                float64
+	observe             func(process, line string) // sees the daemons' logs; may be nil
 }
 
 // fastTiming shortens leases and lifetimes, so that a test sees their end
@@ -86,6 +88,7 @@
 data_centre = dc%d
 peer_listen = 127.0.0.1:0
 admin_listen = 127.0.0.1:0
+peer_loss = %g
 %s
 [log]
 level = info
@@ -99,7 +102,7 @@
 [controller]
 operator_listen = 127.0.0.1:0
 operator_key = %s
-%s`, name, d.started%3+1, d.seedLine(), d.platform.addrs["listen"], operatorKey, d.timing)
+%s`, name, d.started%3+1, d.loss, d.seedLine(), d.platform.addrs["listen"], operatorKey, d.timing)
 	file = filepath.Join(d.dir, name+".ini")
 	require.NoError(d.t, os.WriteFile(file, []byte(text), 0o600))
 	return name, file
@@ -112,14 +115,22 @@
 	return "seeds = " + strings.Join(d.seeds, ", ")
 }
 
+func (d *deployment) observer(name string) func(string) {
+	return func(line string) {
+		if d.observe != nil {
+			d.observe(name, line)
+		}
+	}
+}
+
 func (d *deployment) startController() *child {
 	name, file := d.settings("controller")
-	return start(d.t, name, daemonReady, "controller", "--settings", file)
+	return startObserved(d.t, name, daemonReady, d.observer(name), "controller", "--settings", file)
 }
 
 func (d *deployment) startGateway() *child {
 	name, file := d.settings("gateway")
-	c := start(d.t, name, daemonReady, "gateway", "--settings", file)
+	c := startObserved(d.t, name, daemonReady, d.observer(name), "gateway", "--settings", file)
 	d.seeds = append(d.seeds, c.addrs["peers"])
 	return c
 }
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -50,6 +50,14 @@
 // start runs the binary and waits until ready reads the addresses from a line
 // of its output.
 func start(t testing.TB, name string, ready func(line string) map[string]string, args ...string) *child {
+	t.Helper()
+	return startObserved(t, name, ready, func(string) {}, args...)
+}
+
+// startObserved is start with a function that sees each line of the output.
+func startObserved(
+	t testing.TB, name string, ready func(line string) map[string]string, observe func(line string), args ...string,
+) *child {
 	t.Helper()
 	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1)}
 	out, in := io.Pipe()
@@ -59,6 +67,7 @@
 	go func() {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
+			observe(lines.Text())
 			if addrs := ready(lines.Text()); addrs != nil {
 				found <- addrs
 			} else if os.Getenv("SYSTEMTEST_VERBOSE") != "" {
