--- a/internal/systemtest/deployment_test.go
+++ b/internal/systemtest/deployment_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/carobwharf/carobwharf/history"
 	"github.com/carobwharf/carobwharf/load"
+	"github.com/carobwharf/carobwharf/node/fleetrows"
 	"github.com/carobwharf/carobwharf/peer/caller"
 	"github.com/carobwharf/carobwharf/peer/operator"
 	"github.com/carobwharf/carobwharf/peer/platform"
@@ -169,6 +170,16 @@
 	}, 30*time.Second, 100*time.Millisecond)
 }
 
+// owners reads the ownership rows.
+func (d *deployment) owners() []structs.Owner {
+	client := d.platformClient()
+	defer client.Close()
+	owners, bad, _, err := fleetrows.NewReader(client).Read(context.Background())
+	require.NoError(d.t, err)
+	require.Empty(d.t, bad)
+	return owners
+}
+
 func (d *deployment) platformClient() *platform.Client {
 	return platform.New(platform.Options{Addr: d.platform.addrs["listen"]})
 }
--- a/internal/systemtest/failure_test.go
+++ b/internal/systemtest/failure_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/carobwharf/carobwharf/history"
 	"github.com/carobwharf/carobwharf/peer/operator"
-	"github.com/carobwharf/carobwharf/standin/endpoint"
 )
 
 // Killing any process with SIGKILL must not run anything twice, report a false
@@ -110,8 +109,7 @@
 	})
 	requireNoFindings(t, report)
 	require.Positive(t, drained)
-	var totals []endpoint.Totals
-	d.control("/state", &totals)
+	totals := d.totals()
 	require.Len(t, totals, vmCount)
 	for _, e := range totals {
 		require.Zero(t, e.CutOff, "requests on %s were cut off", e.VM)
