--- a/daemon/gateway/dispatcher/result.go
+++ b/daemon/gateway/dispatcher/result.go
@@ -22,7 +22,7 @@
 		return
 	}
 	res := ev.Result
-	surplus := m.endpoints.Done(now, e, dispatch.Result{
+	m.endpoints.Done(now, e, dispatch.Result{
 		Service: r.service, Kind: res.Kind, Failed: res.Failed, Leaving: res.Leaving, Latency: res.Latency,
 	})
 	m.slotFreed(r)
@@ -33,13 +33,6 @@
 		m.endedOnce(now, r, res)
 		return
 	}
-	if surplus && m.neverRan(r, res) {
-		// The retry budget protects endpoints in an outage. Growing the limit is
-		// bounded already, and a request must not wait for the budget or fail
-		// because of it.
-		m.again(now, r, structs.ReasonEndpointError)
-		return
-	}
 	m.endedIdempotent(now, r, res)
 }
 
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -25,13 +25,9 @@
 }
 
 // Done ends a pick with a result. It updates the endpoint's limit, its
-// ejection and its signs of leaving. surplus reports that the endpoint refused
-// a request beyond this gateway's share of its slots: a result of growing the
-// limit, not of a fault. There is at most one of these for each endpoint in
-// CeilingHold and each request in flight at that moment.
-func (s *Set) Done(now time.Time, id Endpoint, r Result) (surplus bool) {
+// ejection and its signs of leaving.
+func (s *Set) Done(now time.Time, id Endpoint, r Result) {
 	e := &s.endpoints[id]
-	surplus = r.Kind == structs.EndpointRefused && !r.Leaving && e.inFlight > e.share
 	probed := e.probing
 	e.probing = false
 	e.inFlight--
@@ -51,7 +47,6 @@
 	}
 	s.refresh(now, id)
 	s.reschedule(e)
-	return surplus
 }
 
 func (s *Set) service(i int) *serviceStats {
