Log a reboot that waits for tasks at debug level

Cause: an expected wait was a warning in each reconciliation. Ruled out: no line at all, since a wait that never ends has to be found. Conclusion: warnings of the pool keeper mean a fault again.

--- a/daemon/controller/poolkeeper/duty.go
+++ b/daemon/controller/poolkeeper/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -152,7 +153,10 @@
 			d.opts.Log.Debug("drain not confirmed", "vm", e.Confirm.VM, "gateway", e.Confirm.Gateway.ID, "error", e.Err)
 		}
 	case Rebooted:
-		if e.Err != nil {
+		switch {
+		case errors.Is(e.Err, errTasksRunning):
+			d.opts.Log.Debug("reboot waits", "vm", e.Reboot.VM, "cause", e.Err)
+		case e.Err != nil:
 			d.opts.Log.Warn("reboot not begun", "vm", e.Reboot.VM, "error", e.Err)
 		}
 	}
