--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,12 +83,14 @@
 	c := func(name string) gometrics.Counter { return reg.Counter("journal." + name) }
 	commits, rows, conflicts := c("commits"), c("rows"), c("conflicts")
 	unknown, unavailable, dropped := c("unknown"), c("unavailable"), c("dropped")
+	throttled := c("throttled")
 	return func(n journal.Counters) {
 		commits.Inc(n.Commits)
 		rows.Inc(n.Rows)
 		conflicts.Inc(n.Conflicts)
 		unknown.Inc(n.Unknown)
 		unavailable.Inc(n.Unavailable)
+		throttled.Inc(n.Throttled)
 		dropped.Inc(n.Dropped)
 	}
 }
@@ -104,7 +106,7 @@
 // Register adds the duties to a supervisor. The dispatcher stops before the
 // journal, which then stores what is left.
 func (g *Gateway) Register(s *duty.Supervisor) {
-	s.Add(duty.Duty{Name: "journal", Run: g.journal.Run})
+	s.Add(duty.Duty{Name: "journal", Run: g.journal.Run, Dump: g.journal.Dump})
 	s.Add(duty.Duty{Name: "dispatcher", Run: g.dispatcher.run, Dump: g.dispatcher.dump})
 }
 
--- a/daemon/gateway/journal/journal.go
+++ b/daemon/gateway/journal/journal.go
@@ -37,6 +37,7 @@
 	cfg      Config
 	requests *ring.Ring[Request]
 	results  *ring.Ring[Result]
+	dumps    *ring.Ring[chan State] // each channel has capacity 1
 	pool     pond.Pool
 	machine  *Machine
 	counted  Counters
@@ -47,6 +48,7 @@
 	return &Journal{
 		cfg:      c,
 		requests: ring.New[Request]("journal.requests", c.Ring, ring.Refuse),
+		dumps:    ring.New[chan State]("journal.dumps", 4, ring.Refuse),
 		results:  ring.New[Result]("journal.results", 2*c.Workers, ring.Wait),
 		machine:  NewMachine(c.Options),
 	}
@@ -60,6 +62,20 @@
 	return []func() ring.Stats{j.requests.Stats, j.results.Stats}
 }
 
+// Dump returns the State, or nil if ctx ends first.
+func (j *Journal) Dump(ctx context.Context) any {
+	reply := make(chan State, 1)
+	if j.dumps.Put(ctx, reply) != nil {
+		return nil
+	}
+	select {
+	case s := <-reply:
+		return s
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // Run is the duty. After ctx ends it goes on until the finished answers are
 // stored, or the flush time is over.
 func (j *Journal) Run(ctx context.Context) error {
@@ -74,6 +90,8 @@
 			j.takeMore()
 		case r := <-j.results.C():
 			j.machine.Completed(time.Now(), r)
+		case reply := <-j.dumps.C():
+			reply <- j.machine.State()
 		case <-timer.C:
 		case <-ctx.Done():
 		}
--- a/daemon/gateway/journal/machine.go
+++ b/daemon/gateway/journal/machine.go
@@ -92,7 +92,7 @@
 func (c Counters) minus(o Counters) Counters {
 	return Counters{
 		Commits: c.Commits - o.Commits, Rows: c.Rows - o.Rows, Conflicts: c.Conflicts - o.Conflicts,
-		Unknown: c.Unknown - o.Unknown, Unavailable: c.Unavailable - o.Unavailable, Dropped: c.Dropped - o.Dropped,
+		Unknown: c.Unknown - o.Unknown, Unavailable: c.Unavailable - o.Unavailable, Throttled: c.Throttled - o.Throttled, Dropped: c.Dropped - o.Dropped,
 	}
 }
 
@@ -112,6 +112,26 @@
 // Totals returns the counters.
 func (m *Machine) Totals() Counters { return m.counters }
 
+// State is the machine's entry in the state dump.
+type State struct {
+	Waiting   int     // operations that wait for a call
+	Calls     int     // calls under way
+	Unstored  int     // answers and abandoned records that are not stored yet
+	Bytes     int     // of answers among them
+	Down      bool    // the platform does not answer
+	WriteRate float64 // transactions and objects per second that the pacer allows
+	Totals    Counters
+}
+
+// State returns the current state.
+func (m *Machine) State() State {
+	return State{
+		Waiting: len(m.writes) + len(m.reads) + len(m.puts) + len(m.gets) + len(m.later),
+		Calls:   m.running, Unstored: m.held, Bytes: m.bytes, Down: m.down,
+		WriteRate: m.writer.Rate(), Totals: m.counters,
+	}
+}
+
 // Pending returns the number of answers and abandoned records that are not
 // stored yet.
 func (m *Machine) Pending() int { return m.held }
--- a/daemon/gateway/journal/throttle_test.go
+++ b/daemon/gateway/journal/throttle_test.go
@@ -28,6 +28,11 @@
 	m.Completed(now, Result{Task: tasks[0], Err: fmt.Errorf("commit: %w", store.ErrThrottled)})
 	require.Empty(t, m.Replies())
 	require.Empty(t, m.Next(now), "the pacer has to delay the repetition")
+	state := m.State()
+	require.Equal(t, 3, state.Waiting)
+	require.False(t, state.Down)
+	require.Less(t, state.WriteRate, writePacing.Initial)
+	require.Equal(t, int64(1), state.Totals.minus(Counters{}).Throttled, "operators see the limit by this counter")
 
 	now = m.NextWake(now)
 	tasks = m.Next(now)
