Test silent connections on real processes

Cause: connections that go silent for good were tested in packages only. Ruled out: a bound on the recovery in the test; what is checked is that nothing runs twice, no outcome is false and every call is answered.

--- a/internal/systemtest/failure_test.go
+++ b/internal/systemtest/failure_test.go
@@ -92,6 +92,23 @@
 	}
 }
 
+// Connections to the endpoints and to the platform that go silent for good,
+// while new ones work, must not cause a second execution or a false outcome,
+// and every call must still get an answer.
+func TestSilentConnections(t *testing.T) {
+	d := newDeployment(t, 2, 3)
+	result, report := d.load(9*time.Second, 18, func() {
+		time.Sleep(2 * time.Second)
+		d.endpointFaults(`{"faults": {"silence": true}}`)
+		time.Sleep(2 * time.Second)
+		d.platformFaults(`{"silence": true}`)
+	})
+	requireNoFindings(t, report)
+	for _, s := range result.Services {
+		require.Zero(t, s.Errors, "%s: calls without an answer", s.Service)
+	}
+}
+
 // Operators drain VMs of every pool under load: no request in flight may be cut
 // off, none may fail, and no VM may be lost from its pool.
 func TestDrainsCutNothing(t *testing.T) {
