Repeat submissions and job calls with one function

Cause: submit had its own copy of the loop that repeats a call while its result is unknown. Ruled out: leaving the function with the job commands; it stands beside the constants that bound it now. Before/after: no change of behaviour; the tests of package cli pass. Conclusion: the number of attempts and the pause have one place.

--- a/cli/job.go
+++ b/cli/job.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -86,23 +84,6 @@
 	return cmd
 }
 
-// repeatUnknown repeats a call that is idempotent while its result is
-// unknown.
-func repeatUnknown[T any](cmd *cobra.Command, f func() (T, error)) (T, error) {
-	for attempt := 1; ; attempt++ {
-		reply, err := f()
-		var e *operator.Error
-		if !errors.As(err, &e) || e.Code != operator.CodeUnknown || attempt == submitAttempts {
-			return reply, err
-		}
-		select {
-		case <-time.After(submitPause):
-		case <-cmd.Context().Done():
-			return reply, err
-		}
-	}
-}
-
 func printJob(cmd *cobra.Command, r operator.JobReply, err error, asJSON bool) error {
 	if err != nil {
 		return err
--- a/cli/submit.go
+++ b/cli/submit.go
@@ -66,10 +66,18 @@
 
 // submit repeats the call while its result is unknown.
 func submit(cmd *cobra.Command, r *remote, id string, base uint64, file string, text []byte) (operator.SubmitReply, error) {
-	for attempt := 1; ; attempt++ {
-		reply, err := call(cmd, r, func(ctx context.Context, c *operator.Client) (operator.SubmitReply, error) {
+	return repeatUnknown(cmd, func() (operator.SubmitReply, error) {
+		return call(cmd, r, func(ctx context.Context, c *operator.Client) (operator.SubmitReply, error) {
 			return c.Submit(ctx, id, base, file, text)
 		})
+	})
+}
+
+// repeatUnknown repeats a call that is idempotent while its result is
+// unknown.
+func repeatUnknown[T any](cmd *cobra.Command, f func() (T, error)) (T, error) {
+	for attempt := 1; ; attempt++ {
+		reply, err := f()
 		var e *operator.Error
 		if !errors.As(err, &e) || e.Code != operator.CodeUnknown || attempt == submitAttempts {
 			return reply, err
