Subscribe duties only to the views that they use

Cause: the connections duty took configurations from its ring to drop them, and the jobs duty had a ring of member views that nobody read. Ruled out: a subscription list for each duty; three optional rings say the same. Before/after: no change of behaviour; the tests of daemon/process and the demo pass.

--- a/daemon/process/base.go
+++ b/daemon/process/base.go
@@ -26,7 +26,8 @@
 const fleetTimeoutCalls = 3
 
 // views are the subscriptions of one consumer to the shared duties. Each ring
-// has capacity 1 and keeps the newest value.
+// has capacity 1 and keeps the newest value. A ring is nil if the consumer does
+// not use that view.
 type views struct {
 	configs *ring.Ring[*structs.Config]
 	fleets  *ring.Ring[*structs.FleetView]
@@ -149,13 +150,20 @@
 func subscriptions(consumers []views) subscribers {
 	var s subscribers
 	for _, c := range consumers {
-		s.configs = append(s.configs, c.configs)
-		s.fleets = append(s.fleets, c.fleets)
-		s.members = append(s.members, c.members)
+		s.configs = appendRing(s.configs, c.configs)
+		s.fleets = appendRing(s.fleets, c.fleets)
+		s.members = appendRing(s.members, c.members)
 	}
 	return s
 }
 
+func appendRing[T any](list []*ring.Ring[T], r *ring.Ring[T]) []*ring.Ring[T] {
+	if r == nil {
+		return list
+	}
+	return append(list, r)
+}
+
 // latest keeps the newest immutable views for goroutines of servers.
 type latest struct {
 	members atomic.Pointer[structs.MemberView]
--- a/daemon/process/controller.go
+++ b/daemon/process/controller.go
@@ -25,6 +25,7 @@
 // NewController builds a controller process and opens its listeners.
 func NewController(o Options) (*Controller, error) {
 	in, jobsIn := newViews("poolkeeper"), newViews("jobs")
+	jobsIn.members = nil
 	b, err := newBase(o, in, jobsIn)
 	if err != nil {
 		return nil, err
--- a/daemon/process/gateway.go
+++ b/daemon/process/gateway.go
@@ -44,6 +44,7 @@
 // NewGateway builds a gateway process and opens its listeners.
 func NewGateway(o Options) (*Gateway, error) {
 	path, conns := newViews("dispatcher"), newViews("connections")
+	conns.configs = nil
 	b, err := newBase(o, path, conns)
 	if err != nil {
 		return nil, err
@@ -238,7 +239,6 @@
 			c.endpoints.SetShare(v.Rank())
 		case v := <-c.in.fleets.C():
 			c.endpoints.Retain(v.VMs)
-		case <-c.in.configs.C():
 		}
 	}
 }
