Replay golden transcripts with one function

Cause: two packages had the same loop over transcript files with small differences. Before/after: all transcripts pass; a transcript with a wrong action fails. Conclusion: further machines use internal/transcript.

--- a/daemon/controller/jobs/machine/transcript_test.go
+++ b/daemon/controller/jobs/machine/transcript_test.go
@@ -1,10 +1,7 @@
 package machine
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,13 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobwharf/carobwharf/internal/transcript"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-var update = flag.Bool("update", false, "write the actions into the transcripts")
-
-// A transcript has lines "> time event" and, after each, the actions that the
-// machine answers with as lines "< action". Lines with # are comments.
+// session runs the events of one transcript: lines "> time event".
 type session struct {
 	t      *testing.T
 	m      *Machine
@@ -196,30 +191,5 @@
 // The machine's answers to whole sessions must stay as they were reviewed: a
 // changed order of a write and a call can run a job twice.
 func TestTranscripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, path := range files {
-		t.Run(filepath.Base(path), func(t *testing.T) {
-			data, err := os.ReadFile(path)
-			require.NoError(t, err)
-			s := newSession(t)
-			var got strings.Builder
-			for line := range strings.Lines(string(data)) {
-				if strings.HasPrefix(line, "<") {
-					continue
-				}
-				got.WriteString(line)
-				if event, ok := strings.CutPrefix(line, "> "); ok {
-					for _, a := range s.run(event) {
-						got.WriteString("< " + a + "\n")
-					}
-				}
-			}
-			if *update {
-				require.NoError(t, os.WriteFile(path, []byte(got.String()), 0o644))
-			}
-			require.Equal(t, string(data), got.String())
-		})
-	}
+	transcript.Check(t, "testdata/*.txt", func(t *testing.T) func(string) []string { return newSession(t).run })
 }
--- a/daemon/gateway/dispatcher/transcript_test.go
+++ b/daemon/gateway/dispatcher/transcript_test.go
@@ -1,11 +1,7 @@
 package dispatcher
 
 import (
-	"bufio"
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,13 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobwharf/carobwharf/internal/transcript"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
-var update = flag.Bool("update", false, "write the actions into the transcripts")
-
-// A transcript has lines "> time event" and, after each, the actions that the
-// machine must answer with as lines "< action". Lines with # are comments.
+// session runs the events of one transcript: lines "> time event".
 type session struct {
 	t       *testing.T
 	m       *Machine
@@ -223,35 +217,5 @@
 // The transcripts fix what callers are told and what is sent where. Each file
 // says at its top which failures it guards against.
 func TestTranscripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	for _, name := range files {
-		t.Run(filepath.Base(name), func(t *testing.T) {
-			want, err := os.ReadFile(name)
-			require.NoError(t, err)
-			s := newSession(t)
-			var out strings.Builder
-			lines := bufio.NewScanner(strings.NewReader(string(want)))
-			for lines.Scan() {
-				line := lines.Text()
-				event, isEvent := strings.CutPrefix(line, "> ")
-				if strings.HasPrefix(line, "< ") {
-					continue
-				}
-				out.WriteString(line + "\n")
-				if !isEvent {
-					continue
-				}
-				for _, a := range s.run(event) {
-					out.WriteString("< " + a + "\n")
-				}
-			}
-			if *update {
-				require.NoError(t, os.WriteFile(name, []byte(out.String()), 0o644))
-				return
-			}
-			require.Equal(t, string(want), out.String())
-		})
-	}
+	transcript.Check(t, "testdata/*.txt", func(t *testing.T) func(string) []string { return newSession(t).run })
 }
