--- /dev/null
+++ b/cli/node.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/carobwharf/carobwharf/daemon/node"
+	"github.com/carobwharf/carobwharf/logging"
+	"github.com/carobwharf/carobwharf/metrics"
+	platformsettings "github.com/carobwharf/carobwharf/platform/settings"
+)
+
+func newNodeCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "node",
+		Short:   "Run the process that accepts and runs jobs on the users' platform",
+		Example: "  CAROBWHARF_SETTINGS=/etc/carobwharf/settings.toml carobwharf node",
+		Args:    usageArgs(cobra.NoArgs),
+	}
+	level := cmd.Flags().String("log-level", "info", "log level")
+	format := cmd.Flags().String("log-format", string(logging.FormatJSON), "log format, text or json")
+	path := cmd.Flags().String("settings", platformsettings.Path(), "settings file of the platform")
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		set, err := platformsettings.Read(*path)
+		if err != nil {
+			return usageError(err)
+		}
+		log, err := logging.New(logging.Options{Level: *level, Format: logging.Format(*format), Output: cmd.OutOrStdout()})
+		if err != nil {
+			return usageError(err)
+		}
+		// The settings are read at each start; a hang-up signal changes nothing.
+		signal.Ignore(syscall.SIGHUP)
+		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
+		defer stop()
+		n, err := node.New(node.Options{Settings: set, Log: log, Metrics: metrics.New()})
+		if err != nil {
+			return err
+		}
+		return n.Run(ctx)
+	}
+	return cmd
+}
--- a/cli/root.go
+++ b/cli/root.go
@@ -23,7 +23,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err) })
 	root.AddCommand(newCheckCmd(), newSubmitCmd(), newDiffCmd(), newStatusCmd(), newDumpCmd(), newDrainCmd(), newConfigCmd(), newJobCmd())
-	root.AddCommand(newControllerCmd(), newGatewayCmd())
+	root.AddCommand(newControllerCmd(), newGatewayCmd(), newNodeCmd())
 	root.AddCommand(newStandinCmd(), newLoadCmd(), newBenchCmd(), newDemoCmd())
 	root.AddCommand(newVersionCmd())
 	return root
--- /dev/null
+++ b/daemon/node/node.go
@@ -0,0 +1,206 @@
+// Package node wires the process that runs on the users' platform: it accepts
+// jobs, owns pools and takes part in the care of the fleet.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/logging"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/node/follow"
+	nodeintake "github.com/carobwharf/carobwharf/node/intake"
+	"github.com/carobwharf/carobwharf/node/pools"
+	"github.com/carobwharf/carobwharf/platform/caller"
+	"github.com/carobwharf/carobwharf/platform/operator"
+	"github.com/carobwharf/carobwharf/platform/policy"
+	platformstore "github.com/carobwharf/carobwharf/platform/store"
+	"github.com/carobwharf/carobwharf/platform/worker"
+	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/settings"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+// Calls to the platform.
+const (
+	storeTimeout     = time.Second // of one call; the store answers in some 10 ms
+	storeConnections = 48
+	orderTimeout     = 600 * time.Millisecond // of an order to a worker
+	policyTimeout    = 3 * time.Second
+)
+
+// Following of the store's tables.
+const (
+	// feedWait is how long a reading without changes may take. A connection
+	// that went silent costs this and the slack of the adapter.
+	feedWait = 800 * time.Millisecond
+	// leaseGap lets renewals of several leases share one reading.
+	leaseGap = 250 * time.Millisecond
+	// operatorGap lets changes of the configuration in quick succession share one.
+	operatorGap = 50 * time.Millisecond
+	// workGap lets submissions that come together share one reading.
+	workGap = 15 * time.Millisecond
+	// registrationGap lets heartbeats of workers share one reading.
+	registrationGap = 250 * time.Millisecond
+)
+
+// Stopping.
+const (
+	// leaveTime is how long a leaving process serves: the balancer notices it
+	// after two checks, one second apart.
+	leaveTime = 2500 * time.Millisecond
+	// stopTime bounds the end of the duties.
+	stopTime = 1500 * time.Millisecond
+)
+
+// Node is one process.
+type Node struct {
+	set      settings.Node
+	log      hclog.Logger
+	sup      *duty.Supervisor
+	pools    *pools.Duty
+	callers  *caller.Server
+	store    *platformstore.Client
+	ready    atomic.Bool // has a configuration
+	stopping atomic.Bool
+}
+
+// Options is what the command gives to the process.
+type Options struct {
+	Settings settings.Node
+	Log      hclog.Logger
+	Metrics  *metrics.Registry
+}
+
+// New wires the process and opens its addresses.
+func New(o Options) (*Node, error) {
+	n := &Node{set: o.Settings, log: o.Log, sup: duty.NewSupervisor()}
+	part := func(name string) hclog.Logger { return logging.For(o.Log, name) }
+	n.store = platformstore.New(platformstore.Options{
+		Addr: o.Settings.Store.Addr, Timeout: storeTimeout, MaxConnections: storeConnections,
+	})
+	wanted := map[string]*ring.Ring[bool]{
+		store.TableWork: ring.New[bool]("follow-work", 1, ring.KeepNewest),
+		worker.Table:    ring.New[bool]("follow-workers", 1, ring.KeepNewest),
+	}
+	var advice pools.Policy
+	if o.Settings.Policy != "" {
+		advice = policy.New(o.Settings.Policy, policyTimeout)
+	}
+	in := nodeintake.New(nodeintake.Options{Table: n.store, Log: part("intake"), Metrics: o.Metrics})
+	n.pools = pools.New(pools.Options{
+		Self: o.Settings.ID, Bounds: o.Settings.Bounds, Table: n.store, Feed: n.store, Policy: advice,
+		Dial:   func(id, addr string) pools.Worker { return worker.New(id, addr, orderTimeout) },
+		Decode: worker.Decode, Wanted: wanted, Log: part("pools"), Metrics: o.Metrics,
+	})
+	readiness := ring.New[*board.View]("readiness-views", 1, ring.KeepNewest)
+	views := board.New(board.Options{
+		Operator: board.Operator{Configuration: decodeConfiguration, Wave: decodeWave},
+		Out:      []*ring.Ring[*board.View]{in.Views, n.pools.Views, readiness},
+		Log:      part("board"),
+	})
+	var err error
+	if n.callers, err = caller.Listen(o.Settings.Callers, in); err != nil {
+		return nil, err
+	}
+	ready, err := caller.ListenReady(o.Settings.Ready, func() bool { return n.ready.Load() && !n.stopping.Load() })
+	if err != nil {
+		return nil, err
+	}
+	follower := func(table string, gap time.Duration, parts []string, on *ring.Ring[bool], out ...*ring.Ring[follow.Delta]) {
+		f := follow.New(follow.Options{
+			Feed: n.store, Table: table, Parts: parts, Wait: feedWait, Gap: gap, Out: out, Wanted: on, Log: part("follow"),
+		})
+		n.sup.Add(duty.Duty{Name: "follow-" + table, Run: f.Run})
+	}
+	whole := []string{""}
+	n.sup.Add(duty.Duty{Name: "readiness-state", Run: func(ctx context.Context) error { return n.watchReadiness(ctx, readiness) }})
+	n.sup.Add(duty.Duty{Name: "ready", Run: ready.Run})
+	n.sup.Add(duty.Duty{Name: "intake", Run: in.Run})
+	n.sup.Add(duty.Duty{Name: "callers", Run: n.callers.Run})
+	n.sup.Add(duty.Duty{Name: "pools", Run: n.pools.Run})
+	n.sup.Add(duty.Duty{Name: "board", Run: views.Run})
+	follower(operator.Table, operatorGap, whole, nil, views.In)
+	follower(store.TableControl, leaseGap, nil, nil, views.In)
+	follower(worker.Table, registrationGap, whole, wanted[worker.Table], n.pools.Deltas)
+	follower(store.TableWork, workGap, nil, wanted[store.TableWork], n.pools.Deltas)
+	return n, nil
+}
+
+func decodeConfiguration(key string, value []byte) (*workload.Configuration, bool, error) {
+	if key != operator.KeyConfiguration {
+		return nil, false, nil
+	}
+	c, err := operator.DecodeConfiguration(value)
+	return c, err == nil, err
+}
+
+func decodeWave(key string, value []byte) (workload.Wave, bool, error) {
+	if len(key) <= len(operator.PrefixWave) || key[:len(operator.PrefixWave)] != operator.PrefixWave {
+		return workload.Wave{}, false, nil
+	}
+	w, err := operator.DecodeWave(key, value)
+	return w, err == nil, err
+}
+
+func (n *Node) watchReadiness(ctx context.Context, views *ring.Ring[*board.View]) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case v := <-views.C():
+			if v.Configuration != nil && !n.ready.Swap(true) {
+				n.log.Info("ready", "configuration", v.Configuration.Version)
+			}
+		}
+	}
+}
+
+// Run serves until ctx ends, then leaves in order.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("started", "node", n.set.ID, "callers", n.set.Callers, "store", n.set.Store.Addr)
+	n.sup.Start(ctx)
+	var failure error
+	select {
+	case <-ctx.Done():
+		n.leave()
+	case failure = <-n.sup.Failed():
+		n.log.Error("a duty failed", "error", failure)
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	err := n.sup.Stop(stopCtx)
+	n.store.Close()
+	n.log.Info("stopped", "node", n.set.ID, "error", errors.Join(failure, err))
+	if failure != nil {
+		return fmt.Errorf("node: %w", failure)
+	}
+	return err
+}
+
+// leave gives the pools up and serves until callers have gone elsewhere.
+func (n *Node) leave() {
+	n.log.Info("leaving", "node", n.set.ID)
+	n.stopping.Store(true)
+	n.callers.Leave()
+	end := time.NewTimer(min(leaveTime, n.set.StopWithin/2))
+	defer end.Stop()
+	released := make(chan struct{})
+	if err := n.pools.Release.Put(context.Background(), released); err != nil {
+		n.log.Warn("pools were not released", "error", err)
+	}
+	<-end.C
+	select {
+	case <-released:
+	default:
+		n.log.Warn("not all pools were released in time")
+	}
+}
--- /dev/null
+++ b/engine/watch.go
@@ -0,0 +1,362 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+// Supervision of runs.
+const (
+	// stillAfter is how long a finite task may show no progress.
+	stillAfter = 1500 * time.Millisecond
+	// stillPart is the part of a task's estimate that it may show no progress.
+	stillPart = 0.25
+	// startupOf is how long a lasting task may take to be at work.
+	startupOf = 3 * time.Second
+	// copyAfter is how many times its estimate a task that may run twice takes
+	// before a second run starts.
+	copyAfter = 2.0
+	// stopRepeat is the time after which a stop without effect is repeated,
+	// beyond the worker's grace.
+	stopRepeat = 300 * time.Millisecond
+	// releaseWithin is how long a finite task may go on at a worker that is to
+	// be released.
+	releaseWithin = 2 * time.Second
+)
+
+// watchRuns looks for runs that stand still, and repeats stops.
+func (m *Machine) watchRuns(now time.Time) {
+	for _, id := range m.ids {
+		w := m.workers[id]
+		for i := 0; i < len(w.runs); i++ {
+			r := w.runs[i]
+			switch r.state {
+			case stopping:
+				m.watchStop(now, r)
+			case running:
+				m.watchRun(now, r)
+			}
+		}
+	}
+}
+
+func (m *Machine) watchStop(now time.Time, r *run) {
+	if r.stopSent.IsZero() {
+		return // under way
+	}
+	again := r.stopSent.Add(stopRepeat)
+	if !r.stopAcked.IsZero() {
+		again = again.Add(m.cfg.KillGrace)
+	}
+	if now.Before(again) {
+		m.wakeAt(again)
+		return
+	}
+	r.stopSent = time.Time{}
+	m.sendStop(r)
+}
+
+func (m *Machine) watchRun(now time.Time, r *run) {
+	if r.worker.suspect || r.task.step.occ.job.state.Ended() {
+		return
+	}
+	s := r.task.step
+	var limit time.Duration
+	switch {
+	case s.spec.Lasting && s.spec.Fills, s.spec.Gang, r.pace < 100, r.percent >= 100:
+		return
+	case s.spec.Lasting:
+		limit = startupOf
+	default:
+		limit = max(stillAfter, time.Duration(stillPart*float64(s.spec.Estimate)))
+	}
+	// What is known is as old as the last answered hold.
+	still := r.worker.lastHold.Sub(r.percentAt)
+	if still < limit {
+		m.wakeAt(now.Add(limit - still))
+		return
+	}
+	m.blame(now, r.worker, r.task)
+	r.task.avoid = r.worker.ID
+	m.stop(r, "no progress for "+still.Round(time.Millisecond).String())
+}
+
+// evacuate moves work away from workers that leave or are to be released.
+func (m *Machine) evacuate(now time.Time) {
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if !w.Draining && !m.release[w.Machine] {
+			continue
+		}
+		for i := 0; i < len(w.runs); i++ {
+			r := w.runs[i]
+			if r.state != running || r.task.step.occ.job.state.Ended() {
+				continue
+			}
+			if m.mustLeave(now, w, r) {
+				m.stop(r, "the worker leaves or is released")
+			}
+		}
+	}
+}
+
+func (m *Machine) mustLeave(now time.Time, w *worker, r *run) bool {
+	s := r.task.step
+	if s.spec.Lasting {
+		return w.Draining || m.mayMiss(r)
+	}
+	left := time.Duration(float64(s.spec.Estimate) * float64(100-r.percent) / 100)
+	if w.Draining {
+		return s.spec.Checkpoints && left > w.Remaining
+	}
+	return s.spec.Checkpoints && left > releaseWithin
+}
+
+// mayMiss reports whether a lasting task may be stopped: its step's budget
+// has room, and another worker can take it.
+func (m *Machine) mayMiss(r *run) bool {
+	s := r.task.step
+	budget := max(1, s.spec.MayMiss)
+	for _, t := range s.tasks {
+		if t != r.task && !t.atWork() {
+			budget--
+		}
+	}
+	return budget > 0 && m.hasRoomElsewhere(s, r.worker)
+}
+
+// atWork reports whether a lasting task serves.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.state == running && r.percent >= 100 && !r.worker.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) hasRoomElsewhere(s *step, except *worker) bool {
+	needs := s.takes()
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if w == except || !w.listed || !w.synced || !w.engaged || w.gone || w.suspect || w.Draining || m.release[w.Machine] {
+			continue
+		}
+		if s.spec.MaxPerWorker > 0 && s.perWorker[w.ID] >= s.spec.MaxPerWorker || s.spec.Label != "" && !w.has(s.spec.Label) {
+			continue
+		}
+		if needs.Fits(w.free()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Pacing of fill tasks beside tasks that serve. The tail is compared with the
+// target; pace falls fast and rises slowly, since a breach costs more than
+// what the fill tasks do meanwhile.
+const (
+	paceDownAt = 0.85 // of the target
+	paceUpAt   = 0.55 // of the target
+	paceStep   = 25   // percent
+)
+
+func (m *Machine) observeTail(now time.Time, r *run) {
+	target := r.task.step.spec.TailTarget
+	if target == 0 {
+		return
+	}
+	over := time.Duration(r.load)*time.Millisecond > target
+	switch {
+	case !over:
+		r.overSince = time.Time{}
+	case r.overSince.IsZero():
+		r.overSince = now
+	}
+}
+
+// adjustPace orders the pace of fill tasks from the tails of the tasks that
+// serve beside them.
+func (m *Machine) adjustPace() {
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if w.suspect || w.lastHold.IsZero() || w.holding {
+			continue
+		}
+		worst := 0.0
+		for _, r := range w.runs {
+			if target := r.task.step.spec.TailTarget; target > 0 && r.state == running && !r.task.step.spec.Fills {
+				worst = max(worst, float64(r.load)/float64(target.Milliseconds()))
+			}
+		}
+		for _, r := range w.runs {
+			if !r.task.step.spec.Fills || r.state != running {
+				continue
+			}
+			pace := r.pace
+			switch {
+			case worst > 1:
+				pace = 0
+			case worst > paceDownAt:
+				pace = max(0, pace-paceStep)
+			case worst < paceUpAt:
+				pace = min(100, pace+paceStep)
+			}
+			if pace != r.pace {
+				r.pace = pace
+				m.emit(Pace{Target: w.target(), Token: m.cfg.Token, Task: r.task.id, Attempt: r.attempt, Percent: pace})
+			}
+		}
+	}
+}
+
+// paced takes the answer to a pace order in. Without one the pace is ordered
+// again at the next hold.
+func (m *Machine) paced(e PaceAnswered) {
+	w, t := m.live(e.Worker), m.task(e.Task)
+	if w == nil || t == nil {
+		return
+	}
+	if e.Result == Fenced {
+		m.depose(w)
+		return
+	}
+	if r := t.find(w, e.Attempt); r != nil && e.Result != OK && r.pace == e.Percent {
+		r.pace = 100 // unknown: assume that it works at full speed
+	}
+}
+
+// Batch is what the machine wants stored in one transaction.
+type Batch struct {
+	Jobs    map[string]workload.Progress
+	Engaged []Engaged // all workers that may get or have runs
+	ends    map[string]int
+	engaged map[string]int64
+	jobs    []*job
+}
+
+// Urgent reports whether something waits for Collect that callers wait for:
+// the end of a job, or a new worker that cannot be used before.
+func (m *Machine) Urgent() bool {
+	for _, j := range m.order {
+		if j.dirty && j.state.Ended() {
+			return true
+		}
+	}
+	for _, w := range m.workers {
+		if w.synced && !w.engaged && !w.gone {
+			return true
+		}
+	}
+	return false
+}
+
+// Dirty reports whether Collect has jobs to store.
+func (m *Machine) Dirty() bool {
+	for _, j := range m.order {
+		if j.dirty {
+			return true
+		}
+	}
+	return false
+}
+
+// Collect returns what is to be stored, with at most limit jobs. At most one
+// batch is under way.
+func (m *Machine) Collect(limit int) *Batch {
+	b := &Batch{Jobs: map[string]workload.Progress{}, ends: map[string]int{}, engaged: map[string]int64{}}
+	whole := true
+	for _, j := range m.order {
+		if !j.dirty {
+			continue
+		}
+		if len(b.jobs) == limit {
+			whole = false
+			break
+		}
+		b.Jobs[j.sub.ID] = j.progress()
+		b.jobs = append(b.jobs, j)
+		j.dirty, j.flushing = false, true
+	}
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if w.synced && (!w.gone || len(w.runs) > 0) {
+			b.Engaged = append(b.Engaged, Engaged{ID: w.ID, Born: w.Born})
+			b.engaged[w.ID] = w.Born
+		}
+		if whole {
+			b.ends[w.ID] = w.seen
+		}
+	}
+	for id := range m.former {
+		if _, ok := b.engaged[id]; !ok {
+			b.Engaged = append(b.Engaged, Engaged{ID: id})
+		}
+	}
+	return b
+}
+
+func (m *Machine) stored(e Stored) {
+	for _, j := range e.Batch.jobs {
+		j.flushing = false
+		j.dirty = j.dirty || !e.OK
+	}
+	if !e.OK {
+		return
+	}
+	for id, n := range e.Batch.ends {
+		if w, ok := m.workers[id]; ok && e.Batch.engaged[id] == w.Born {
+			w.storable = max(w.storable, n)
+		}
+	}
+	for id, born := range e.Batch.engaged {
+		if w, ok := m.workers[id]; ok && w.Born == born && !w.engaged {
+			w.engaged, m.changed = true, true
+		}
+	}
+}
+
+// Status is what the owner tells the fleet's owner and the callers' side.
+type Status struct {
+	Waiting  map[string]int  `json:"waiting,omitempty"` // jobs of a queue of which no task has started
+	Short    int             `json:"short,omitempty"`   // thousandths of a core that waiting tasks lack
+	Machines []MachineStatus `json:"machines,omitempty"`
+}
+
+// MachineStatus is the load of a machine of the pool.
+type MachineStatus struct {
+	Machine  string `json:"m"`
+	Used     int    `json:"u,omitempty"` // thousandths of a core
+	Runs     int    `json:"r,omitempty"`
+	Lasting  int    `json:"l,omitempty"` // of the runs
+	Usable   bool   `json:"ok,omitempty"`
+	Released bool   `json:"free,omitempty"` // nothing runs or will be started on it
+}
+
+// Status returns the present state.
+func (m *Machine) Status(now time.Time) Status {
+	s := Status{Waiting: m.waitingCount()}
+	for _, c := range m.candidates(now) {
+		if c.urgency == fills {
+			continue
+		}
+		for _, t := range c.step.tasks {
+			if t.waiting(now) {
+				s.Short += c.step.spec.Size.MilliCores
+			}
+		}
+	}
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if !w.listed || w.gone {
+			continue
+		}
+		s.Machines = append(s.Machines, MachineStatus{
+			Machine: w.Machine, Used: w.taken.MilliCores, Runs: len(w.runs), Lasting: m.lastingAt(w),
+			Usable:   m.usable(now, w),
+			Released: m.release[w.Machine] && (w.synced || m.settled()) && len(w.runs) == 0 && w.seen <= w.storable,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/engine/worker.go
@@ -0,0 +1,550 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/carobwharf/carobwharf/placement"
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+// Timing of holds and orders.
+const (
+	// holdWait is how long a worker with runs delays its answer to wait for an
+	// end. It bounds the age of what is known of the runs there.
+	holdWait = 800 * time.Millisecond
+	// holdGap lets ends that come close together share one answer.
+	holdGap = 20 * time.Millisecond
+	// idleHoldEvery is the time between holds of a worker without runs.
+	idleHoldEvery = 2 * time.Second
+	// holdRetry is the time between holds of a worker that does not answer.
+	holdRetry = 300 * time.Millisecond
+	// startWithin is how long after its sending a start may be carried out. It
+	// is longer than any regular delay, and short enough that a start without
+	// an answer does not keep its task waiting.
+	startWithin = 1500 * time.Millisecond
+	// retryAfterRefusal spaces attempts after a refusal that placement did not expect.
+	retryAfterRefusal = 100 * time.Millisecond
+)
+
+// Quarantine of workers that fail what they start.
+const (
+	quarantineFirst = 2 * time.Second
+	quarantineMost  = 16 * time.Second
+	// failuresInRow is how many runs have to fail without one that ended well
+	// in between. A single failure may be the task's own fault.
+	failuresInRow = 2
+)
+
+// worker is what is known of one life of a worker.
+type worker struct {
+	workload.Worker
+	listed   bool
+	gone     bool // this life has ended
+	synced   bool // has answered a hold with this owner's token
+	engaged  bool // its id is in the stored lease row
+	runs     []*run
+	taken    placement.Size // by the runs
+	clock    int64     // worker's clock in ms, as of clockAt
+	clockAt  time.Time // when the answer with it arrived
+	deadline int64     // greatest one sent
+	leaseEnd time.Time // when all runs must have lapsed, by our clock
+	seen     int       // greatest number of an end taken in
+	storable int       // ends up to this number are stored
+	holding  bool
+	nextHold time.Time
+	lastHold time.Time // sending of the last hold that was answered
+	suspect  bool      // a call went unanswered since the last answer
+	noRoom   time.Time // refused for want of room; nothing is started until then
+
+	failures   int // in a row
+	blames     map[string]bool
+	quarantine time.Duration
+	out        time.Time // end of the quarantine
+}
+
+func (w *worker) target() Target { return Target{Life: w.Life, Addr: w.Addr} }
+
+// now estimates the worker's clock; the estimate is never ahead of it by more
+// than the clocks' drift.
+func (w *worker) now(now time.Time) int64 {
+	return w.clock + int64(float64(now.Sub(w.clockAt).Milliseconds())*(1-clockSkew))
+}
+
+// extend notes that an order with the given deadline was sent.
+func (w *worker) extend(now time.Time, deadline int64) {
+	if deadline <= w.deadline {
+		return
+	}
+	w.deadline = deadline
+	left := time.Duration(deadline-w.clock) * time.Millisecond
+	w.leaseEnd = w.clockAt.Add(stretchLease(left))
+}
+
+func (w *worker) free() placement.Size { return w.Capacity.Minus(w.taken) }
+
+// takes returns what a task of the step takes of a worker's capacity. Fill
+// tasks take no processor time that counts.
+func (s *step) takes() placement.Size {
+	size := s.spec.Size
+	if s.spec.Fills {
+		size.MilliCores = 0
+	}
+	return size
+}
+
+func (w *worker) has(label string) bool { return slices.Contains(w.Labels, label) }
+
+func (m *Machine) seeWorkers(now time.Time, list []workload.Worker) {
+	for _, w := range m.workers {
+		w.listed = false
+	}
+	for _, seen := range list {
+		w, ok := m.workers[seen.ID]
+		if ok && w.Born != seen.Born && seen.Born != 0 {
+			m.decide("worker-reborn", fmt.Sprintf("a life that began at %d is registered", seen.Born), nil, w, 0)
+			m.dropRuns(now, w)
+			ok = false
+		}
+		if !ok {
+			w = &worker{nextHold: now, blames: map[string]bool{}}
+			m.workers[seen.ID] = w
+		}
+		if ok && seen.Draining != w.Draining {
+			m.decide("worker-draining", fmt.Sprintf("draining %t, %s left", seen.Draining, seen.Remaining), nil, w, 0)
+		}
+		w.Worker, w.listed = seen, true
+	}
+	m.changed = true
+	m.sortWorkers()
+}
+
+func (m *Machine) sortWorkers() {
+	m.ids = m.ids[:0]
+	for id := range m.workers {
+		m.ids = append(m.ids, id)
+	}
+	slices.Sort(m.ids)
+}
+
+// dropGone forgets workers that are not registered any more and cannot run
+// anything.
+func (m *Machine) dropGone(now time.Time) {
+	removed := false
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if w.listed && !w.gone || len(w.runs) > 0 || w.holding || now.Before(w.leaseEnd) && !w.gone {
+			continue
+		}
+		if w.gone && w.listed {
+			continue // stays as a mark that this life has ended
+		}
+		delete(m.workers, id)
+		removed = true
+	}
+	if removed {
+		m.sortWorkers()
+	}
+}
+
+// holdDue orders the holds whose time has come. One hold at a time is under
+// way for each worker.
+func (m *Machine) holdDue(now time.Time) {
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if w.holding || w.gone || !w.listed && len(w.runs) == 0 {
+			continue
+		}
+		if now.Before(w.nextHold) {
+			m.wakeAt(w.nextHold)
+			continue
+		}
+		m.hold(now, w)
+	}
+}
+
+func (m *Machine) hold(now time.Time, w *worker) {
+	h := Hold{Target: w.target(), Token: m.cfg.Token, Seen: w.storable}
+	if w.synced {
+		h.Deadline = w.now(now) + m.cfg.Lease.Milliseconds()
+		w.extend(now, h.Deadline)
+		if len(w.runs) > 0 && !w.suspect && !m.needsNews(w) {
+			h.Wait = holdWait
+		}
+	}
+	w.holding = true
+	m.emit(h)
+}
+
+// needsNews reports whether a run at the worker can be settled only by an
+// answer that does not wait.
+func (m *Machine) needsNews(w *worker) bool {
+	for _, r := range w.runs {
+		if r.state == unsettled {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) live(l workload.Life) *worker {
+	w, ok := m.workers[l.ID]
+	if !ok || w.Born != l.Born {
+		return nil
+	}
+	return w
+}
+
+func (m *Machine) held(now time.Time, e HoldAnswered) {
+	w := m.live(e.Worker)
+	if w == nil {
+		return
+	}
+	w.holding = false
+	m.changed = true
+	switch e.Result {
+	case OK:
+	case Fenced:
+		m.depose(w)
+		return
+	case OtherLife:
+		m.endLife(now, w, "another worker answers at its address")
+		return
+	default:
+		if !w.suspect {
+			m.decide("worker-silent", e.Result.String(), nil, w, 0)
+		}
+		w.suspect = true
+		w.nextHold = now.Add(holdRetry)
+		return
+	}
+	if e.Report.Born != 0 && w.Born != 0 && e.Report.Born != w.Born {
+		m.endLife(now, w, "the worker has started again")
+		return
+	}
+	if w.suspect {
+		m.decide("worker-answers", "", nil, w, 0)
+	}
+	first := !w.synced
+	w.suspect, w.synced = false, true
+	w.clock, w.clockAt, w.lastHold = e.Report.Clock, now, e.Sent
+	if w.deadline > 0 {
+		left := time.Duration(w.deadline-w.clock) * time.Millisecond
+		w.leaseEnd = now.Add(stretchLease(max(0, left)))
+	}
+	if first {
+		delete(m.former, w.ID)
+	}
+	m.takeEnds(now, w, e.Report.Ended)
+	m.takeRunning(now, w, e)
+	switch {
+	case first || m.needsNews(w):
+		w.nextHold = now.Add(holdGap)
+	case len(w.runs) > 0 || w.seen > w.storable:
+		w.nextHold = now.Add(holdGap)
+	default:
+		w.nextHold = now.Add(idleHoldEvery)
+	}
+}
+
+func (m *Machine) depose(w *worker) {
+	m.deposed = true
+	m.emit(Deposed{Worker: w.ID})
+}
+
+// endLife gives up everything at a worker that no longer exists.
+func (m *Machine) endLife(now time.Time, w *worker, why string) {
+	m.decide("worker-gone", why, nil, w, 0)
+	w.gone = true
+	m.dropRuns(now, w)
+}
+
+// dropRuns frees the tasks of all runs at a worker where nothing runs.
+func (m *Machine) dropRuns(now time.Time, w *worker) {
+	for len(w.runs) > 0 {
+		m.drop(now, w.runs[0])
+	}
+	m.changed = true
+}
+
+// drop forgets a run that has ended or never began.
+func (m *Machine) drop(now time.Time, r *run) {
+	t, w := r.task, r.worker
+	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	w.runs = slices.DeleteFunc(w.runs, func(o *run) bool { return o == r })
+	w.taken = w.taken.Minus(t.step.takes())
+	if n := t.step.perWorker[w.ID]; n > 1 {
+		t.step.perWorker[w.ID] = n - 1
+	} else {
+		delete(t.step.perWorker, w.ID)
+	}
+	t.freedAt = now
+	m.changed = true
+}
+
+// takeEnds takes in the ends that have not been seen before.
+func (m *Machine) takeEnds(now time.Time, w *worker, ends []EndReport) {
+	for _, e := range ends {
+		if e.Number <= w.seen {
+			continue
+		}
+		w.seen = e.Number
+		if t := m.task(e.Task); t != nil {
+			m.end(now, w, t, e)
+		}
+	}
+}
+
+func (m *Machine) end(now time.Time, w *worker, t *task, e EndReport) {
+	j := t.step.occ.job
+	r := t.find(w, e.Attempt)
+	t.lastRun = max(t.lastRun, e.Attempt)
+	if r != nil {
+		m.drop(now, r)
+	}
+	if e.Saved != "" {
+		t.saved = e.Saved
+	}
+	j.dirty = true
+	if t.done || j.state.Ended() {
+		return
+	}
+	switch e.How {
+	case EndDone:
+		m.markDone(t, w)
+	case EndFailed:
+		m.markFailed(now, t, w, e.Attempt)
+	default:
+		m.decide("run-ended", string(e.How), t, w, e.Attempt)
+	}
+}
+
+func (m *Machine) markDone(t *task, w *worker) {
+	w.failures, w.quarantine = 0, 0
+	clear(w.blames)
+	if t.step.spec.Gang {
+		for _, member := range t.step.tasks {
+			member.finish()
+		}
+	}
+	t.finish()
+	for _, other := range t.runs {
+		m.stop(other, "another run is done")
+	}
+}
+
+func (m *Machine) markFailed(now time.Time, t *task, w *worker, attempt int) {
+	j := t.step.occ.job
+	t.fails++
+	t.avoid = w.ID
+	m.decide("run-failed", fmt.Sprintf("failure %d of the task", t.fails), t, w, attempt)
+	if !t.step.spec.Lasting && t.fails >= max(1, j.queue.MaxAttempts) {
+		m.endJob(j, workload.Failed, fmt.Sprintf("task %s failed %d times", t.id, t.fails))
+	}
+	m.blame(now, w, t)
+}
+
+// blame counts a failure against the worker. A task that failed elsewhere too
+// is likely to be at fault itself.
+func (m *Machine) blame(now time.Time, w *worker, t *task) {
+	if t.fails > 1 && !w.blames[t.id.Job] || w.blames[t.id.Job] && t.step.spec.Lasting {
+		return
+	}
+	w.blames[t.id.Job] = true
+	w.failures++
+	if w.failures < failuresInRow {
+		return
+	}
+	w.quarantine = min(quarantineMost, max(quarantineFirst, 2*w.quarantine))
+	w.out = now.Add(w.quarantine)
+	m.decide("worker-quarantined", fmt.Sprintf("%d failures in a row, for %s", w.failures, w.quarantine), t, w, 0)
+}
+
+// takeRunning compares what the worker says that it runs with what this owner
+// believes.
+func (m *Machine) takeRunning(now time.Time, w *worker, e HoldAnswered) {
+	listed := make(map[*run]bool, len(w.runs))
+	for _, seen := range e.Report.Running {
+		t := m.task(seen.Task)
+		if t == nil {
+			m.stopUnknown(w, seen)
+			continue
+		}
+		r := t.find(w, seen.Attempt)
+		if r == nil {
+			r = m.adopt(now, t, w, seen)
+		}
+		listed[r] = true
+		m.observe(now, r, seen)
+	}
+	for _, r := range slices.Clone(w.runs) {
+		if !listed[r] {
+			m.missing(now, w, r, e)
+		}
+	}
+}
+
+// stopUnknown ends a run of a job that has ended or was never accepted.
+func (m *Machine) stopUnknown(w *worker, seen RunReport) {
+	m.emit(Decision{What: "run-unwanted", Job: seen.Task.Job, Task: seen.Task.String(), Worker: w.ID, Attempt: seen.Attempt, Why: "its job has ended"})
+	m.emit(Stop{Target: w.target(), Token: m.cfg.Token, Task: seen.Task, Attempt: seen.Attempt})
+}
+
+// adopt takes over a run that another owner or a late order started.
+func (m *Machine) adopt(now time.Time, t *task, w *worker, seen RunReport) *run {
+	r := &run{task: t, attempt: seen.Attempt, worker: w, state: running, sent: now, acked: now, percentAt: now, pace: 100}
+	surplus := t.done || t.step.occ.job.state.Ended() || len(t.runs) > 0 && !t.step.spec.Copies
+	m.attach(r)
+	t.lastRun = max(t.lastRun, seen.Attempt)
+	m.decide("run-adopted", "listed by the worker", t, w, seen.Attempt)
+	if surplus {
+		m.stop(r, "the task is done or runs elsewhere")
+	}
+	return r
+}
+
+func (m *Machine) attach(r *run) {
+	r.task.runs = append(r.task.runs, r)
+	r.worker.runs = append(r.worker.runs, r)
+	r.worker.taken = r.worker.taken.Plus(r.task.step.takes())
+	r.task.step.perWorker[r.worker.ID]++
+}
+
+func (m *Machine) observe(now time.Time, r *run, seen RunReport) {
+	if r.state == starting || r.state == unsettled {
+		r.state, r.acked = running, now
+	}
+	if seen.Percent != r.percent {
+		r.percent, r.percentAt = seen.Percent, now
+	}
+	r.load = seen.Load
+	if seen.Saved != "" {
+		r.task.saved = seen.Saved
+	}
+	m.observeTail(now, r)
+	if j := r.task.step.occ.job; j.state == workload.Queued {
+		j.state, j.dirty = workload.Running, true
+	}
+}
+
+// missing settles a run that the worker does not list.
+func (m *Machine) missing(now time.Time, w *worker, r *run, e HoldAnswered) {
+	switch {
+	case !r.acked.IsZero() && r.acked.Before(e.Sent):
+		m.decide("run-vanished", "the worker lists neither the run nor its end", r.task, w, r.attempt)
+	case r.acked.IsZero() && r.state != starting && e.Report.Clock > r.deadline && r.sent.Before(e.Sent):
+		m.decide("run-not-started", "its deadline has passed at the worker", r.task, w, r.attempt)
+	case !r.stopAcked.IsZero() && r.stopAcked.Before(e.Sent):
+		// The stop came first and forbids the run.
+	default:
+		return
+	}
+	m.drop(now, r)
+}
+
+func (m *Machine) started(now time.Time, e StartAnswered) {
+	w := m.live(e.Worker)
+	t := m.task(e.Task)
+	if w == nil || t == nil {
+		return
+	}
+	r := t.find(w, e.Attempt)
+	if r == nil || r.state != starting && r.state != stopping {
+		return
+	}
+	m.changed = true
+	switch e.Result {
+	case OK:
+		r.acked = now
+		if r.state == starting {
+			r.state, r.percentAt = running, now
+		}
+		if j := t.step.occ.job; j.state == workload.Queued {
+			j.state, j.dirty = workload.Running, true
+		}
+		return
+	case Fenced:
+		m.depose(w)
+		return
+	case Unknown:
+		w.suspect = true
+		if r.state == starting {
+			r.state = unsettled
+		}
+		m.decide("start-unsettled", "no answer", t, w, e.Attempt)
+		w.nextHold = now
+		return
+	case OtherLife:
+		m.endLife(now, w, "a start was answered by another life")
+		return
+	case OldRun:
+		t.lastRun = max(t.lastRun, e.Attempt) + 1
+	case NoRoom, Late:
+		w.noRoom = now.Add(retryAfterRefusal)
+		w.nextHold = now
+	case NoTicket:
+		delete(t.step.tickets, w.ID)
+	case NotDelivered:
+		w.suspect = true
+		w.nextHold = now
+	case Unhealthy:
+		w.out = now.Add(quarantineFirst)
+	case Invalid:
+		t.readyAt = now.Add(time.Second)
+	}
+	m.decide("start-refused", e.Result.String(), t, w, e.Attempt)
+	m.drop(now, r)
+}
+
+// stop orders the end of a run. An order that has been sent is repeated only
+// by watchRuns.
+func (m *Machine) stop(r *run, why string) {
+	if r.state == stopping {
+		return
+	}
+	r.state, r.stopReason = stopping, why
+	r.stopSent = time.Time{}
+	m.sendStop(r)
+}
+
+func (m *Machine) sendStop(r *run) {
+	m.decide("run-stop", r.stopReason, r.task, r.worker, r.attempt)
+	m.emit(Stop{Target: r.worker.target(), Token: m.cfg.Token, Task: r.task.id, Attempt: r.attempt})
+}
+
+func (m *Machine) stopped(now time.Time, e StopAnswered) {
+	w, t := m.live(e.Worker), m.task(e.Task)
+	if w == nil {
+		return
+	}
+	switch e.Result {
+	case Fenced:
+		m.depose(w)
+		return
+	case OtherLife:
+		m.endLife(now, w, "a stop was answered by another life")
+		return
+	}
+	if t == nil {
+		return
+	}
+	r := t.find(w, e.Attempt)
+	if r == nil {
+		return
+	}
+	r.stopSent = now
+	if e.Result == OK {
+		r.stopAcked = now
+		w.nextHold = minTime(w.nextHold, now.Add(holdGap))
+	} else {
+		w.suspect = w.suspect || e.Result == Unknown || e.Result == NotDelivered
+	}
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/peer/endpoint/client.go
+++ b/peer/endpoint/client.go
@@ -17,7 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobwharf/carobwharf/peer/endpoint/wire"
-	"github.com/carobwharf/carobwharf/peer/internal/roundtrip"
+	"github.com/carobwharf/carobwharf/peer/roundtrip"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
--- a/peer/internal/jsoncall/jsoncall.go
+++ b/peer/jsoncall/jsoncall.go
@@ -13,7 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobwharf/carobwharf/peer/internal/roundtrip"
+	"github.com/carobwharf/carobwharf/peer/roundtrip"
 	"github.com/carobwharf/carobwharf/store"
 )
 
@@ -23,8 +23,9 @@
 	Timeout        time.Duration // of one call, 2 s; an earlier deadline of the context wins
 	MaxConnections int           // 32; calls beyond it wait for a connection
 	MaxConnAge     time.Duration // 1 min; older connections are replaced
-	MaxIdle        time.Duration // 20 s; longer idle connections are closed
+	MaxIdle        time.Duration // 20 s; longer idle connections are closed; must be below the host's own bound
 	MaxBody        int           // bytes of an answer, 64 MiB
+	Anonymous      bool          // the host does not return request ids, so answers are not checked for them
 }
 
 // Client calls one address. It is safe for concurrent use.
@@ -32,15 +33,19 @@
 	host    *roundtrip.Host
 	timeout time.Duration
 	calls   atomic.Uint64
-	name    string // makes the request ids of several clients differ
+	name    string // makes the request ids of several clients differ; "" without ids
 }
 
 // New returns a client; it opens connections when they are needed.
 func New(o Options) *Client {
 	timeout := orDefault(o.Timeout, 2*time.Second)
+	name := strconv.FormatInt(time.Now().UnixNano(), 36) + "-"
+	if o.Anonymous {
+		name = ""
+	}
 	return &Client{
 		timeout: timeout,
-		name:    strconv.FormatInt(time.Now().UnixNano(), 36) + "-",
+		name:    name,
 		host: roundtrip.NewHost(o.Addr, roundtrip.Options{
 			MaxConns: orDefault(o.MaxConnections, 32),
 			MaxAge:   orDefault(o.MaxConnAge, time.Minute),
@@ -69,6 +74,9 @@
 	JSON   any          // body, encoded as JSON
 	Raw    []byte       // body instead of JSON
 	Writes bool         // the call changes something
+	Header [3][2]string // further headers; empty names are left out
+	// Timeout replaces the client's if it is not zero.
+	Timeout time.Duration
 	// Decode reads the body of a 200 and copies what it keeps; nil ignores it.
 	Decode func(body []byte) error
 	// Refusal translates any other status. lost is the error for an answer
@@ -91,8 +99,8 @@
 	x := roundtrip.Exchange{
 		Request:        req,
 		Response:       resp,
-		ID:             c.name + strconv.FormatUint(c.calls.Add(1), 36),
-		Deadline:       c.deadline(ctx),
+		ID:             c.requestID(),
+		Deadline:       c.deadline(ctx, orDefault(k.Timeout, c.timeout)),
 		UnnamedRefusal: true,
 	}
 	if f := c.host.Do(&x); f != nil {
@@ -110,6 +118,13 @@
 	return nil
 }
 
+func (c *Client) requestID() string {
+	if c.name == "" {
+		return ""
+	}
+	return c.name + strconv.FormatUint(c.calls.Add(1), 36)
+}
+
 // lost returns the error for a call without a usable answer.
 func lost(mayHaveChanged bool) error {
 	if mayHaveChanged {
@@ -118,8 +133,8 @@
 	return store.ErrUnavailable
 }
 
-func (c *Client) deadline(ctx context.Context) time.Time {
-	own := time.Now().Add(c.timeout)
+func (c *Client) deadline(ctx context.Context, timeout time.Duration) time.Time {
+	own := time.Now().Add(timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(own) {
 		return d
 	}
@@ -142,6 +157,11 @@
 		uri = args.AppendBytes(append(uri, '?'))
 	}
 	req.SetRequestURIBytes(uri)
+	for _, h := range k.Header {
+		if h[0] != "" {
+			req.Header.Set(h[0], h[1])
+		}
+	}
 	if k.JSON != nil {
 		req.Header.SetContentType("application/json")
 		return json.NewEncoder(req.BodyWriter()).Encode(k.JSON)
--- a/peer/platform/table.go
+++ b/peer/platform/table.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobwharf/carobwharf/peer/internal/jsoncall"
+	"github.com/carobwharf/carobwharf/peer/jsoncall"
 	"github.com/carobwharf/carobwharf/peer/platform/wire"
 	"github.com/carobwharf/carobwharf/store"
 )
--- a/peer/internal/roundtrip/roundtrip.go
+++ b/peer/roundtrip/roundtrip.go
@@ -136,7 +136,9 @@
 	if left <= 0 {
 		return &Failure{Timeout: true, Err: ErrDeadline}
 	}
-	x.Request.Header.Set(HeaderRequestID, x.ID)
+	if x.ID != "" {
+		x.Request.Header.Set(HeaderRequestID, x.ID)
+	}
 	for {
 		cc, err := h.hc.AcquireConn(left, false)
 		if err != nil {
--- a/peer/worker/client.go
+++ b/peer/worker/client.go
@@ -11,24 +11,16 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/carobwharf/carobwharf/peer/internal/jsoncall"
+	"github.com/carobwharf/carobwharf/peer/jsoncall"
 	"github.com/carobwharf/carobwharf/peer/worker/wire"
 	"github.com/carobwharf/carobwharf/store"
 )
 
-// Options configures New. Zero fields get defaults.
-type Options struct {
-	Addr           string        // IP:port of the platform
-	Timeout        time.Duration // of one call, 2 s; an earlier deadline of the context wins
-	MaxConnections int           // 32; calls beyond it wait for a connection
-	MaxConnAge     time.Duration // 1 min; older connections are replaced
-	MaxIdle        time.Duration // 20 s; must be below the platform's own bound
-	MaxBody        int           // bytes of an answer, 64 MiB
-}
+// Options configures New.
+type Options = jsoncall.Options
 
 // Client calls workers. It is safe for concurrent use.
 type Client struct {
@@ -38,7 +30,7 @@
 var _ store.Workers = (*Client)(nil)
 
 // New returns a client; it opens connections when they are needed.
-func New(o Options) *Client { return &Client{calls: jsoncall.New(jsoncall.Options(o))} }
+func New(o Options) *Client { return &Client{calls: jsoncall.New(o)} }
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.calls.Close() }
--- a/placement/full.go
+++ b/placement/full.go
@@ -55,7 +55,7 @@
 	g.free, g.room = Size{}, Size{}
 	for _, w := range g.workers {
 		g.free = g.free.atLeast(w.free)
-		g.room = g.room.atLeast(w.free.plus(w.batch))
+		g.room = g.room.atLeast(w.free.Plus(w.batch))
 	}
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -375,14 +375,14 @@
 		var alloc, give Size
 		for _, j := range w.tasks {
 			require.Same(t, w, j.worker)
-			alloc = alloc.plus(j.alloc)
-			use[j.team] = use[j.team].plus(j.alloc)
+			alloc = alloc.Plus(j.alloc)
+			use[j.team] = use[j.team].Plus(j.alloc)
 			if j.run.batch {
-				give = give.plus(j.alloc)
+				give = give.Plus(j.alloc)
 			}
 		}
 		running += len(w.tasks)
-		require.Equal(t, w.kind.Capacity, w.free.plus(alloc))
+		require.Equal(t, w.kind.Capacity, w.free.Plus(alloc))
 		require.Equal(t, give, w.batch)
 		if w.held != nil {
 			require.Same(t, w, w.held.hold)
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -108,7 +108,7 @@
 
 // room is the sum of the fractions of the worker that stay free.
 func room(w *worker, need Size) float64 {
-	c, f := w.kind.Capacity, w.free.minus(need)
+	c, f := w.kind.Capacity, w.free.Minus(need)
 	sum := float64(f.MilliCores)/float64(c.MilliCores) + float64(f.MemoryMB)/float64(c.MemoryMB)
 	if c.Accelerators > 0 {
 		sum += float64(f.Accelerators) / float64(c.Accelerators)
--- a/placement/report.go
+++ b/placement/report.go
@@ -38,27 +38,27 @@
 // grow takes a use above the allocation into account, so that no further job
 // is placed into room that is not there.
 func (s *Scheduler) grow(j *job, used Size) {
-	more := used.atLeast(j.alloc).minus(j.alloc)
+	more := used.atLeast(j.alloc).Minus(j.alloc)
 	more.Accelerators = 0
 	if more == (Size{}) || j.run.throttled != (Size{}) {
 		return
 	}
 	w := j.worker
-	j.alloc = j.alloc.plus(more)
-	w.free = w.free.minus(more)
+	j.alloc = j.alloc.Plus(more)
+	w.free = w.free.Minus(more)
 	if j.run.batch {
-		w.batch = w.batch.plus(more)
+		w.batch = w.batch.Plus(more)
 	}
 	w.kind.update(w)
-	j.team.use = j.team.use.plus(more)
+	j.team.use = j.team.use.Plus(more)
 }
 
 // release gives the job's resources back.
 func (s *Scheduler) release(j *job) {
 	w := j.worker
-	w.free = w.free.plus(j.alloc)
+	w.free = w.free.Plus(j.alloc)
 	if j.run.batch {
-		w.batch = w.batch.minus(j.alloc)
+		w.batch = w.batch.Minus(j.alloc)
 	}
 	for i, t := range w.tasks {
 		if t == j {
@@ -68,7 +68,7 @@
 		}
 	}
 	j.team.running--
-	j.team.use = j.team.use.minus(j.alloc)
+	j.team.use = j.team.use.Minus(j.alloc)
 	j.worker, j.alloc = nil, Size{}
 	w.kind.update(w)
 	s.restore(w)
@@ -200,7 +200,7 @@
 func (s *Scheduler) unlist(j *job) {
 	if j.run.batch {
 		j.run.batch = false
-		j.worker.batch = j.worker.batch.minus(j.alloc)
+		j.worker.batch = j.worker.batch.Minus(j.alloc)
 	}
 }
 
--- a/placement/room.go
+++ b/placement/room.go
@@ -41,7 +41,7 @@
 	seen := 0
 	for i := range s.workers {
 		w := s.workers[(s.cursor+i)%len(s.workers)]
-		if w.bucket < 0 || w.probation || w.held != nil || !need.Fits(w.free.plus(w.batch)) || len(j.failedOn) > 0 && !mayUse(j, w) {
+		if w.bucket < 0 || w.probation || w.held != nil || !need.Fits(w.free.Plus(w.batch)) || len(j.failedOn) > 0 && !mayUse(j, w) {
 			continue
 		}
 		if p, ok := planRoom(w, need); ok && (best == nil || p.cost < bestPlan.cost) {
@@ -89,7 +89,7 @@
 )
 
 func planRoom(w *worker, need Size) (roomPlan, bool) {
-	short := need.minus(w.free)
+	short := need.Minus(w.free)
 	if short.MemoryMB <= 0 && short.Accelerators <= 0 {
 		if p, ok := planThrottle(w, short.MilliCores); ok {
 			return p, true
@@ -112,7 +112,7 @@
 		if short.MilliCores <= 0 && short.MemoryMB <= 0 && short.Accelerators <= 0 {
 			break
 		}
-		short = short.minus(t.alloc)
+		short = short.Minus(t.alloc)
 		p.stop = append(p.stop, t)
 		if t.Checkpoints {
 			p.cost += costSave
@@ -164,7 +164,7 @@
 	}
 	half := Size{MilliCores: j.alloc.MilliCores / 2}
 	j.run.throttle, j.run.throttled = false, half
-	s.resize(j, Size{}.minus(half))
+	s.resize(j, Size{}.Minus(half))
 	s.freed(j.worker)
 }
 
@@ -185,13 +185,13 @@
 
 func (s *Scheduler) resize(j *job, by Size) {
 	w := j.worker
-	j.alloc = j.alloc.plus(by)
-	w.free = w.free.minus(by)
+	j.alloc = j.alloc.Plus(by)
+	w.free = w.free.Minus(by)
 	if j.run.batch {
-		w.batch = w.batch.plus(by)
+		w.batch = w.batch.Plus(by)
 	}
 	w.kind.update(w)
-	j.team.use = j.team.use.plus(by)
+	j.team.use = j.team.use.Plus(by)
 }
 
 // reserve holds the worker with the most free processors for a job that has
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -109,7 +109,7 @@
 	w := &worker{id: id, kind: g, free: g.Capacity}
 	s.byID[id] = w
 	s.workers = append(s.workers, w)
-	s.total = s.total.plus(g.Capacity)
+	s.total = s.total.Plus(g.Capacity)
 	g.count++
 	s.enter(w)
 }
@@ -141,7 +141,7 @@
 
 // moreBatch notes that more work of a worker can give way to urgent work.
 func (s *Scheduler) moreBatch(w *worker) {
-	s.noRoom.released(w.free.plus(w.batch))
+	s.noRoom.released(w.free.Plus(w.batch))
 	s.gain.note(w)
 }
 
@@ -163,7 +163,7 @@
 	w.gone = true
 	w.kind.remove(w)
 	w.kind.count--
-	s.total = s.total.minus(w.kind.Capacity)
+	s.total = s.total.Minus(w.kind.Capacity)
 }
 
 // Submit queues a job, or returns a *RefusalError if it can never run.
@@ -317,15 +317,15 @@
 func (s *Scheduler) occupy(j *job, w *worker, size Size) {
 	j.worker, j.alloc = w, size
 	j.run = runState{batch: levelOf(j.Class) == levelBatch && j.preemptions < s.opt.Preemptions}
-	w.free = w.free.minus(size)
+	w.free = w.free.Minus(size)
 	w.tasks = append(w.tasks, j)
 	if j.run.batch {
-		w.batch = w.batch.plus(size)
+		w.batch = w.batch.Plus(size)
 		s.moreBatch(w)
 	}
 	w.kind.update(w)
 	j.team.running++
-	j.team.use = j.team.use.plus(size)
+	j.team.use = j.team.use.Plus(size)
 }
 
 func (s *Scheduler) send(kind CommandKind, j *job, reason string) {
--- a/placement/types.go
+++ b/placement/types.go
@@ -26,11 +26,13 @@
 	return s.MilliCores <= free.MilliCores && s.MemoryMB <= free.MemoryMB && s.Accelerators <= free.Accelerators
 }
 
-func (s Size) plus(o Size) Size {
+// Plus returns the sum of s and o.
+func (s Size) Plus(o Size) Size {
 	return Size{s.MilliCores + o.MilliCores, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
 }
 
-func (s Size) minus(o Size) Size {
+// Minus returns what is left of s without o.
+func (s Size) Minus(o Size) Size {
 	return Size{s.MilliCores - o.MilliCores, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
--- a/store/keys.go
+++ b/store/keys.go
@@ -1,6 +1,11 @@
 package store
 
-import "fmt"
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+)
 
 // Keys of the table. Each prefix ends with a slash, so that Scan finds the
 // rows of one kind.
@@ -48,3 +53,49 @@
 
 // KeyPlan returns the key of a stop plan's progress.
 func KeyPlan(name string) string { return PrefixPlan + name }
+
+// Tables of a platform with a Feed. A key is table/part/name.
+const (
+	TableWork     = "work"     // submissions and cancellations
+	TableProgress = "progress" // parts are pools
+	TableControl  = "control"  // parts are pools, and ControlFleet
+	ControlFleet  = "fleet"    // part of the fleet's lease; no pool has this name
+)
+
+// WorkParts is the number of parts of TableWork. A part takes a bounded number
+// of transactions per second; submissions are spread by the hash of their id.
+const WorkParts = 8
+
+// suffixCancel ends the key of a cancellation.
+const suffixCancel = "/cancel"
+
+// KeyWork returns the key of a submission.
+func KeyWork(id string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return TableWork + "/" + strconv.Itoa(int(h.Sum32()%WorkParts)) + "/" + id
+}
+
+// KeyWorkCancel returns the key of the cancellation of a submission.
+func KeyWorkCancel(id string) string { return KeyWork(id) + suffixCancel }
+
+// CancelledWork returns the id of the submission that the row with the key
+// cancels; ok is false if the row is no cancellation.
+func CancelledWork(key string) (id string, ok bool) {
+	key, ok = strings.CutSuffix(key, suffixCancel)
+	return key[strings.LastIndexByte(key, '/')+1:], ok
+}
+
+// PrefixProgress starts the keys of the progress of a pool's jobs.
+func PrefixProgress(pool string) string { return TableProgress + "/" + pool + "/" }
+
+// KeyProgress returns the key of a job's progress.
+func KeyProgress(pool, id string) string { return PrefixProgress(pool) + id }
+
+// KeyControl returns the key of the lease of a pool or of the fleet.
+func KeyControl(name string) string { return TableControl + "/" + name + "/lease" }
+
+// ControlName is the reverse of KeyControl.
+func ControlName(key string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(key, TableControl+"/"), "/lease")
+}
--- a/store/store.go
+++ b/store/store.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -23,12 +24,16 @@
 	ErrThrottled = fmt.Errorf("%w: rate limit", ErrUnavailable)
 	// ErrUnknown: the call may have taken effect. The caller reads back.
 	ErrUnknown = errors.New("result unknown")
+	// ErrHistoryGone: the changes after the given version are not kept any
+	// more. The reader takes a snapshot.
+	ErrHistoryGone = errors.New("history is gone")
 )
 
 // ConflictError reports the keys whose condition did not hold. Nothing of the
 // transaction took effect.
 type ConflictError struct {
 	Keys []string
+	Rows []Row // the rows with conditions as they are now, if the platform tells them
 }
 
 // Error lists the keys.
@@ -80,6 +85,26 @@
 	Commit(ctx context.Context, ops []Op) ([]uint64, error)
 }
 
+// Change is a row that was written or removed.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Feed is implemented by platforms whose table can be followed. The first
+// part of a key, up to the first slash, names its table; the second names a
+// part of the table in which a transaction is local.
+type Feed interface {
+	// Snapshot returns the rows of the parts of a table (of all parts if none
+	// is given) and the version from which Changes goes on. Rows that change
+	// meanwhile are also among the changes.
+	Snapshot(ctx context.Context, table string, parts ...string) ([]Row, uint64, error)
+	// Changes returns what has changed since a version, and the version to go
+	// on from. It waits until there is a change, at most for wait. It returns
+	// ErrHistoryGone if the changes are not known any more.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
 // Objects is the object store. Objects are immutable: names contain a hash of
 // the content.
 type Objects interface {
