Renew the lease of a pool after its jobs are loaded

Cause: the time of the next attempt to load, 4 s ahead, also delayed the first renewal of the active pool, so that each lease lapsed after 2 s. Ruled out: answers lost by the store (no failed write in the log).

--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -231,7 +231,7 @@
 		p.nextTry = d.now().Add(claimRetry)
 		return
 	}
-	p.state = active
+	p.state, p.nextTry = active, time.Time{}
 	p.machine = engine.New(d.now(), engine.Config{
 		Pool: p.name, Token: p.control.Token, Lease: d.Bounds.MaxLease, MaxLease: d.Bounds.MaxLease,
 		KillGrace: d.Bounds.KillGrace, GangWait: d.Bounds.GangWait, FarFactor: d.Bounds.FarFactor,
