Move the keeping of lease rows to a package of its own

Cause: the fleet's owner needs the same claims, renewals and settling of writes without an answer as the owners of pools. Ruled out: a lease per process that covers both duties; a failure would then stall pools and fleet together.

--- a/engine/event.go
+++ b/engine/event.go
@@ -27,8 +27,12 @@
 // WorkersSeen lists all workers registered in the pool.
 type WorkersSeen struct{ Workers []workload.Worker }
 
-// ReleaseSeen names the machines that the fleet's owner wants without work.
-type ReleaseSeen struct{ Machines map[string]bool }
+// ReleaseSeen names the machines that the fleet's owner wants without work, as
+// of a version of its row.
+type ReleaseSeen struct {
+	Machines map[string]bool
+	Version  uint64
+}
 
 // Result is the outcome of a call to a worker.
 type Result int
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -32,20 +32,21 @@
 
 // Machine decides for one pool. It is used from one goroutine.
 type Machine struct {
-	cfg     Config
-	wall    int64 // Unix ms of this step
-	queues  map[string]workload.Queue
-	jobs    map[string]*job
-	order   []*job // by arrival
-	ended   map[string]workload.JobState
-	workers map[string]*worker
-	ids     []string // of workers, in order
-	release map[string]bool
-	former  map[string]time.Time // engaged workers of the former owner; when their leases lapse
-	changed bool                 // placement may find something new to do
-	deposed bool
-	wake    time.Time
-	out     []Action
+	cfg            Config
+	wall           int64 // Unix ms of this step
+	queues         map[string]workload.Queue
+	jobs           map[string]*job
+	order          []*job // by arrival
+	ended          map[string]workload.JobState
+	workers        map[string]*worker
+	ids            []string // of workers, in order
+	release        map[string]bool
+	releaseVersion uint64
+	former         map[string]time.Time // engaged workers of the former owner; when their leases lapse
+	changed        bool                 // placement may find something new to do
+	deposed        bool
+	wake           time.Time
+	out            []Action
 }
 
 // Engaged is a worker that may have runs of the pool's owner.
@@ -138,7 +139,7 @@
 	case WorkersSeen:
 		m.seeWorkers(now, e.Workers)
 	case ReleaseSeen:
-		m.release, m.changed = e.Machines, true
+		m.release, m.releaseVersion, m.changed = e.Machines, e.Version, true
 	case HoldAnswered:
 		m.held(now, e)
 	case StartAnswered:
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -322,6 +322,7 @@
 	Waiting  map[string]int  `json:"waiting,omitempty"` // jobs of a queue of which no task has started
 	Short    int             `json:"short,omitempty"`   // thousandths of a core that waiting tasks lack
 	Machines []MachineStatus `json:"machines,omitempty"`
+	Release  uint64          `json:"release,omitempty"` // version of the fleet's row that Released answers
 }
 
 // MachineStatus is the load of a machine of the pool.
@@ -336,7 +337,7 @@
 
 // Status returns the present state.
 func (m *Machine) Status(now time.Time) Status {
-	s := Status{Waiting: m.waitingCount()}
+	s := Status{Waiting: m.waitingCount(), Release: m.releaseVersion}
 	for _, c := range m.candidates(now) {
 		if c.urgency == fills {
 			continue
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -46,12 +46,12 @@
 	engaged  bool // its id is in the stored lease row
 	runs     []*run
 	taken    placement.Size // by the runs
-	clock    int64     // worker's clock in ms, as of clockAt
-	clockAt  time.Time // when the answer with it arrived
-	deadline int64     // greatest one sent
-	leaseEnd time.Time // when all runs must have lapsed, by our clock
-	seen     int       // greatest number of an end taken in
-	storable int       // ends up to this number are stored
+	clock    int64          // worker's clock in ms, as of clockAt
+	clockAt  time.Time      // when the answer with it arrived
+	deadline int64          // greatest one sent
+	leaseEnd time.Time      // when all runs must have lapsed, by our clock
+	seen     int            // greatest number of an end taken in
+	storable int            // ends up to this number are stored
 	holding  bool
 	nextHold time.Time
 	lastHold time.Time // sending of the last hold that was answered
--- /dev/null
+++ b/node/holder/holder.go
@@ -0,0 +1,287 @@
+// Package holder keeps a lease row of the platform's store: it decides when to
+// claim it, renews it, and settles writes without an answer. It makes no calls
+// itself; the duty that uses it carries its writes out.
+package holder
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/carobwharf/carobwharf/lease"
+	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/rows"
+	"github.com/carobwharf/carobwharf/store"
+)
+
+// Timing of leases.
+const (
+	// LeaseTime is how long a lease is left alone when its holder is silent.
+	// It is several times the slowest regular answer of the store.
+	LeaseTime = 2 * time.Second
+	// renewEvery leaves two more tries before the lease ends.
+	renewEvery = LeaseTime / 3
+	// claimSpread keeps processes from claiming one lease at the same moment.
+	claimSpread = 150 * time.Millisecond
+	// claimRetry spaces claims after one that failed.
+	claimRetry = 300 * time.Millisecond
+	// writeRetry spaces renewals after one that failed.
+	writeRetry = 100 * time.Millisecond
+	// storeTimeout bounds a write. A later answer would leave too little of the
+	// lease.
+	storeTimeout = 900 * time.Millisecond
+)
+
+// State is how far this process holds the lease.
+type State int
+
+// States.
+const (
+	Idle State = iota
+	Claiming
+	Held
+)
+
+// Holder is this process's part in one lease. It is used from one goroutine.
+type Holder struct {
+	Name    string
+	Control rows.Control // as last written by this process
+	Former  rows.Control // as found when the lease was taken
+	Taken   uint64       // version of the row with which it was taken
+	TakenAt time.Time
+	State   State
+
+	self    string
+	log     hclog.Logger
+	jitter  time.Duration
+	absent  time.Time // since when the row is known not to exist
+	retryAt time.Time // of a claim that failed
+	lease   lease.Held
+	version uint64
+	writing bool
+	last    time.Time // sending of the last write
+	nextTry time.Time // after a write that failed
+}
+
+// New returns a holder of nothing.
+func New(name, self string, log hclog.Logger) *Holder {
+	return &Holder{Name: name, self: self, log: log, jitter: rand.N(claimSpread)}
+}
+
+// Write is a transaction on the lease row. More has further operations in the
+// same transaction.
+type Write struct {
+	Control   rows.Control
+	More      []store.Op
+	op        store.Op
+	requested time.Time
+	claim     bool
+}
+
+// Result is the outcome of a Write.
+type Result struct {
+	write   Write
+	version uint64
+	err     error
+}
+
+// Event says what a Result means.
+type Event int
+
+// Events.
+const (
+	None      Event = iota
+	Acquired        // the lease was claimed
+	NotWon          // it was not
+	Stored          // the write took effect
+	NotStored       // the write failed, or it is not known whether it took effect
+	Released        // the write took effect and gave the lease up
+	Lost            // another process has the lease
+)
+
+// Valid reports whether the lease is held at now, a steady time.
+func (h *Holder) Valid(now time.Time) bool { return h.State == Held && h.lease.Valid(now) }
+
+// Version returns the version of the row as last written by this process.
+func (h *Holder) Version() uint64 { return h.version }
+
+// Writing reports whether a write is under way.
+func (h *Holder) Writing() bool { return h.writing }
+
+// Drop gives the lease up without a trace in the store.
+func (h *Holder) Drop(now time.Time) {
+	h.State, h.lease = Idle, lease.Held{}
+	h.retryAt = now.Add(claimRetry)
+}
+
+// Observe compares the row with what this process believes. It reports whether
+// the lease was lost to another process.
+func (h *Holder) Observe(now time.Time, v *board.View) bool {
+	seen, ok := v.Leases[h.Name]
+	if !ok || h.State != Held || seen.Version <= h.version || seen.Holder == h.self && seen.Token == h.Control.Token {
+		return false
+	}
+	h.log.Warn("lease has another holder", "lease", h.Name, "token", h.Control.Token, "holder", seen.Holder, "their_token", seen.Token)
+	h.Drop(now)
+	return true
+}
+
+// ClaimDue reports whether the lease should be claimed. wait is added to its
+// duration.
+func (h *Holder) ClaimDue(now time.Time, v *board.View, wait time.Duration) bool {
+	if h.State != Idle || h.writing || v == nil || v.LeasesRead.IsZero() || now.Before(h.retryAt) {
+		return false
+	}
+	wait += h.jitter
+	seen, ok := v.Leases[h.Name]
+	if !ok {
+		if h.absent.IsZero() {
+			h.absent = now
+		}
+		return now.Sub(h.absent) >= wait
+	}
+	// Silence counts only up to the last reading of the rows.
+	silent := v.LeasesRead.Sub(seen.Since)
+	if seen.Holder == "" {
+		return silent >= wait
+	}
+	return silent >= seen.Duration+wait
+}
+
+// Claim returns the write that takes the lease, if nobody has written the row
+// since it was seen.
+func (h *Holder) Claim(now time.Time, v *board.View) Write {
+	seen, exists := v.Leases[h.Name]
+	w := Write{Control: seen.Control, requested: now, claim: true}
+	w.Control.SetLease(lease.Next(seen.Record(), h.self, LeaseTime))
+	w.op = store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
+	if exists {
+		w.op.Kind, w.op.Expect = store.OpUpdate, seen.Version
+	}
+	h.State, h.writing, h.Former = Claiming, true, seen.Control
+	h.log.Info("claiming lease", "lease", h.Name, "token", w.Control.Token, "from", seen.Holder, "version", seen.Version)
+	return w
+}
+
+// WriteAt returns when the next write is due. urgent is how soon after the
+// last one there is something to store; 0 if there is nothing.
+func (h *Holder) WriteAt(urgent time.Duration) time.Time {
+	at := h.last.Add(renewEvery)
+	if urgent > 0 {
+		at = h.last.Add(min(urgent, renewEvery))
+	}
+	if at.Before(h.nextTry) {
+		return h.nextTry
+	}
+	return at
+}
+
+// Renew returns the write that renews the lease with the row's new content,
+// or gives it up.
+func (h *Holder) Renew(now time.Time, c rows.Control, release bool) Write {
+	c.SetLease(h.Control.Record().Renewed(LeaseTime))
+	if release {
+		c.Holder = ""
+	}
+	h.writing, h.last = true, now
+	return Write{
+		Control: c, requested: now,
+		op: store.Op{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version},
+	}
+}
+
+// Commit carries a write out. It may run on any goroutine.
+func Commit(ctx context.Context, t store.Table, w Write) Result {
+	r := Result{write: w}
+	op := w.op
+	if op.Value, r.err = rows.EncodeControl(w.Control); r.err != nil {
+		return r
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	versions, err := t.Commit(ctx, append([]store.Op{op}, w.More...))
+	if err != nil {
+		r.err = err
+		return r
+	}
+	r.version = versions[0]
+	return r
+}
+
+// Take takes the result of a write in.
+func (h *Holder) Take(now time.Time, r Result) Event {
+	h.writing = false
+	if h.State == Idle {
+		return None
+	}
+	if r.write.claim {
+		return h.takeClaim(now, r)
+	}
+	if h.Control.Token != r.write.Control.Token {
+		return None
+	}
+	if r.err == nil {
+		h.Control, h.version, h.nextTry = r.write.Control, r.version, time.Time{}
+		h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
+		if r.write.Control.Holder == "" {
+			h.log.Info("lease is released", "lease", h.Name)
+			h.Drop(now)
+			return Released
+		}
+		return Stored
+	}
+	if c, version, mine := h.own(r.err, h.Control.Token); mine {
+		// An earlier write without an answer took effect.
+		h.Control, h.version, h.nextTry = c, version, time.Time{}
+		return NotStored
+	}
+	var conflict *store.ConflictError
+	if errors.As(r.err, &conflict) {
+		h.log.Warn("lease has another holder", "lease", h.Name, "token", h.Control.Token)
+		h.Drop(now)
+		return Lost
+	}
+	h.log.Warn("lease was not renewed", "lease", h.Name, "error", r.err)
+	h.nextTry = now.Add(writeRetry)
+	return NotStored
+}
+
+func (h *Holder) takeClaim(now time.Time, r Result) Event {
+	if r.err != nil {
+		c, version, mine := h.own(r.err, r.write.Control.Token)
+		if !mine {
+			h.log.Info("lease was not claimed", "lease", h.Name, "error", r.err)
+			h.Drop(now)
+			return NotWon
+		}
+		r.write.Control, r.version = c, version
+	}
+	h.log.Info("lease is held", "lease", h.Name, "token", r.write.Control.Token, "version", r.version)
+	h.State, h.Control, h.version, h.Taken, h.TakenAt = Held, r.write.Control, r.version, r.version, now
+	h.last, h.nextTry = now, time.Time{}
+	h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
+	return Acquired
+}
+
+// own returns the row of a conflict; mine is true if this process wrote it.
+func (h *Holder) own(err error, token uint64) (c rows.Control, version uint64, mine bool) {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return rows.Control{}, 0, false
+	}
+	for _, r := range conflict.Rows {
+		if r.Key != store.KeyControl(h.Name) {
+			continue
+		}
+		c, err := rows.DecodeControl(r.Value)
+		if err != nil {
+			h.log.Warn("lease row can't be read", "lease", h.Name, "error", err)
+			return rows.Control{}, 0, false
+		}
+		return c, r.Version, c.Holder == h.self && c.Token == token
+	}
+	return rows.Control{}, 0, false
+}
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/internal/steady"
-	"github.com/carobwharf/carobwharf/lease"
+	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
 )
@@ -22,20 +21,18 @@
 
 func (d *Duty) now() time.Time { return steady.Now() }
 
-func formatVersion(v uint64) string { return strconv.FormatUint(v, 10) }
-
 // drive does what is due for a pool and returns when more is.
 func (d *Duty) drive(ctx context.Context, now time.Time, p *pool) time.Time {
 	wake := now.Add(idleWake)
-	if p.state != loading && p.state != active {
+	if p.State != holder.Held {
 		return wake
 	}
-	if p.state == loading && !now.Before(p.nextTry) {
+	if p.machine == nil && !p.loading && !now.Before(p.loadAt) {
 		d.load(ctx, p)
 	}
-	if p.state == active && p.lease.Valid(now) {
+	if p.machine != nil && p.Valid(now) {
 		d.step(ctx, now, p)
-		if p.state != active {
+		if p.machine == nil {
 			return now
 		}
 		if at := p.machine.Wake(); !at.IsZero() {
@@ -58,7 +55,7 @@
 }
 
 func (d *Duty) carryOut(ctx context.Context, p *pool, a engine.Action) {
-	name, token := p.name, p.control.Token
+	name, token := p.Name, p.Control.Token
 	reply := func(e engine.Event) { d.post(ctx, answered{pool: name, token: token, event: e}) }
 	switch a := a.(type) {
 	case engine.Hold:
@@ -97,8 +94,8 @@
 		d.Log.Info(a.What, "pool", name, "token", token, "job", a.Job, "task", a.Task, "run", a.Attempt, "worker", a.Worker, "why", a.Why)
 	case engine.Deposed:
 		d.Log.Warn("a worker follows a later owner", "pool", name, "token", token, "worker", a.Worker)
-		p.drop()
-		p.retryAt = d.now().Add(leaseTime)
+		p.Drop(d.now())
+		p.forget()
 	}
 }
 
@@ -136,50 +133,35 @@
 // write stores what is due: the lease's renewal, and with it the progress of
 // jobs. It returns when it wants to be called again.
 func (d *Duty) write(ctx context.Context, now time.Time, p *pool) time.Time {
-	if p.writing {
+	if p.Writing() {
 		return now.Add(idleWake)
 	}
-	at := d.writeAt(now, p)
-	if now.Before(at) {
+	if at := p.WriteAt(d.urgency(p)); now.Before(at) {
 		return at
 	}
-	next := p.control
-	next.SetLease(next.Record().Renewed(leaseTime))
-	leaving := d.leaving != nil
-	if leaving {
-		next.Holder = ""
-	}
-	var ops []store.Op
+	c := p.Control
+	var more []store.Op
 	if p.machine != nil {
 		p.batch = p.machine.Collect(flushJobs)
-		next.Engaged, next.Status = p.batch.Engaged, p.machine.Status(now)
-		ops = d.encode(p)
+		c.Engaged, c.Status = p.batch.Engaged, p.machine.Status(now)
+		more = d.encode(p)
 	}
-	p.writing, p.lastWrite = true, now
-	op := store.Op{Kind: store.OpUpdate, Key: store.KeyControl(p.name), Expect: p.version}
-	r := written{pool: p.name, control: next, requested: now}
-	d.stores.Go(func() {
-		r.version, r.err = d.commitControl(ctx, next, op, ops)
-		d.post(ctx, r)
-	})
+	w := p.Renew(now, c, d.leaving != nil)
+	w.More = more
+	d.commit(ctx, p, w)
 	return now.Add(idleWake)
 }
 
-// writeAt returns when the pool's next transaction is due.
-func (d *Duty) writeAt(now time.Time, p *pool) time.Time {
-	at := p.lastWrite.Add(leaseTime / 3)
-	if p.machine != nil {
-		switch {
-		case p.machine.Urgent() || d.leaving != nil:
-			at = p.lastWrite.Add(flushGap)
-		case p.machine.Dirty():
-			at = p.lastWrite.Add(lazyFlushGap)
-		}
-	}
-	if at.Before(p.nextTry) && p.state == active {
-		return p.nextTry
+// urgency returns how soon after the last transaction the next may come, 0 if
+// there is nothing to store but the renewal.
+func (d *Duty) urgency(p *pool) time.Duration {
+	switch {
+	case d.leaving != nil || p.machine != nil && p.machine.Urgent():
+		return flushGap
+	case p.machine != nil && p.machine.Dirty():
+		return lazyFlushGap
 	}
-	return at
+	return 0
 }
 
 func (d *Duty) encode(p *pool) []store.Op {
@@ -190,47 +172,7 @@
 			d.Log.Error("progress can't be encoded", "job", id, "error", err)
 			continue
 		}
-		ops = append(ops, store.Op{Kind: store.OpPut, Key: store.KeyProgress(p.name, id), Value: value})
+		ops = append(ops, store.Op{Kind: store.OpPut, Key: store.KeyProgress(p.Name, id), Value: value})
 	}
 	return ops
 }
-
-// writeRetry spaces transactions after one that failed.
-const writeRetry = 100 * time.Millisecond
-
-func (d *Duty) takeWrite(r written) {
-	p := d.pools[r.pool]
-	p.writing = false
-	if p.state != loading && p.state != active || p.control.Token != r.control.Token {
-		return
-	}
-	batch := p.batch
-	p.batch = nil
-	if r.err == nil {
-		p.control, p.version, p.nextTry = r.control, r.version, time.Time{}
-		p.lease = lease.Acquired(r.control.Record(), r.requested)
-		if batch != nil {
-			p.add(engine.Stored{Batch: batch, OK: true})
-		}
-		if r.control.Holder == "" {
-			d.Log.Info("pool is released", "pool", p.name)
-			p.drop()
-		}
-		return
-	}
-	if batch != nil {
-		p.add(engine.Stored{Batch: batch})
-	}
-	p.nextTry = d.now().Add(writeRetry)
-	if c, version, mine := d.own(r.err, p, p.control.Token); mine {
-		p.control, p.version = c, version
-		p.nextTry = time.Time{}
-		return
-	}
-	if isConflict(r.err) {
-		d.Log.Warn("pool has another owner", "pool", p.name, "token", p.control.Token)
-		p.drop()
-		return
-	}
-	d.Log.Warn("progress was not stored", "pool", p.name, "error", r.err)
-}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/node/follow"
+	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/store"
@@ -33,17 +33,9 @@
 	storeCalls  = 32
 )
 
-// Leases of pools.
-const (
-	// leaseTime is how long a pool is left alone when its owner is silent. It
-	// is several times the slowest regular answer of the store.
-	leaseTime = 2 * time.Second
-	// claimSpread keeps processes from claiming one lease at the same moment.
-	claimSpread = 150 * time.Millisecond
-	// claimBackoff is how much longer a process waits for each pool that it
-	// owns already, so that pools spread over the VMs.
-	claimBackoff = 400 * time.Millisecond
-)
+// claimBackoff is how much longer a process waits for each pool that it owns
+// already, so that pools spread over the VMs.
+const claimBackoff = 400 * time.Millisecond
 
 // Storing of progress.
 const (
@@ -54,11 +46,9 @@
 	lazyFlushGap = 300 * time.Millisecond
 	// flushJobs bounds the jobs in one transaction: the platform takes 100 rows.
 	flushJobs = 80
-	// storeTimeout bounds a transaction. A later answer would leave too little
-	// of the lease.
-	storeTimeout = 900 * time.Millisecond
 	// loadTimeout bounds the reading of a pool's jobs by its new owner.
 	loadTimeout = 4 * time.Second
+	loadRetry   = 300 * time.Millisecond
 )
 
 // Worker is the adapter to one worker.
@@ -172,14 +162,14 @@
 	wake := now.Add(idleWake)
 	held := 0
 	for _, name := range d.names {
-		if d.pools[name].state != idle {
+		if d.pools[name].State != holder.Idle {
 			held++
 		}
 	}
 	for _, name := range d.names {
 		p := d.pools[name]
-		if p.state == idle && d.leaving == nil && d.claimDue(now, p, held) {
-			d.claim(ctx, now, p)
+		if d.leaving == nil && p.ClaimDue(now, d.view, time.Duration(held)*claimBackoff) {
+			d.commit(ctx, p, p.Claim(now, d.view))
 			held++
 		}
 		wake = minTime(wake, d.drive(ctx, now, p))
@@ -221,51 +211,36 @@
 	if v.Configuration == nil {
 		return
 	}
-	// A pool without a queue has nothing to run, but may have jobs of a queue
-	// that was removed.
-	for _, p := range v.Configuration.Pools {
-		if d.pools[p.Name] == nil {
-			d.pools[p.Name] = &pool{name: p.Name, jitter: rand.N(claimSpread)}
-			d.names = append(d.names, p.Name)
+	for _, o := range v.Configuration.Pools {
+		if d.pools[o.Name] == nil {
+			d.pools[o.Name] = &pool{Holder: holder.New(o.Name, d.Self, d.Log)}
+			d.names = append(d.names, o.Name)
 		}
 	}
 	slices.Sort(d.names)
-	released := map[string]bool{}
-	if fleet, ok := v.Leases[store.ControlFleet]; ok {
-		for _, m := range fleet.Release {
-			released[m] = true
-		}
-	}
+	now := d.now()
 	for _, name := range d.names {
 		p := d.pools[name]
-		p.observe(v.Leases[name], d.Self)
+		if p.Observe(now, v) {
+			p.forget()
+		}
 		if p.configuration != v.Configuration {
 			p.configuration = v.Configuration
 			p.add(engine.QueuesSeen{Queues: v.Configuration.Queues})
 		}
-		p.add(engine.ReleaseSeen{Machines: released})
+		p.add(d.released())
 	}
 }
 
-// claimDue reports whether the lease of a pool should be taken.
-func (d *Duty) claimDue(now time.Time, p *pool, held int) bool {
-	if d.view == nil || d.view.LeasesRead.IsZero() || now.Before(p.retryAt) {
-		return false
-	}
-	wait := p.jitter + time.Duration(held)*claimBackoff
-	seen, ok := d.view.Leases[p.name]
-	if !ok {
-		if p.absent.IsZero() {
-			p.absent = now
-		}
-		return now.Sub(p.absent) >= wait
-	}
-	// Silence counts only up to the last reading of the rows.
-	silent := d.view.LeasesRead.Sub(seen.Since)
-	if seen.Holder == "" {
-		return silent >= wait
+// released returns the machines that the fleet's owner wants without work.
+func (d *Duty) released() engine.ReleaseSeen {
+	e := engine.ReleaseSeen{Machines: map[string]bool{}}
+	fleet := d.view.Leases[store.ControlFleet]
+	e.Version = fleet.Version
+	for _, m := range fleet.Release {
+		e.Machines[m] = true
 	}
-	return silent >= seen.Duration+wait
+	return e
 }
 
 // dial returns the client of a worker.
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -1,12 +1,12 @@
 package pools
 
 import (
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/node/follow"
+	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -78,11 +78,11 @@
 // takeChange passes a row of the work table to the pools that may need it.
 func (d *Duty) takeChange(c store.Change) {
 	for _, name := range d.names {
-		switch p := d.pools[name]; p.state {
-		case claiming, loading:
-			p.early = append(p.early, c)
-		case active:
+		switch p := d.pools[name]; {
+		case p.machine != nil:
 			d.takeWork(p, c, nil)
+		case p.State != holder.Idle:
+			p.early = append(p.early, c) // read again when the jobs have been loaded
 		}
 	}
 }
@@ -134,8 +134,3 @@
 	}
 	return g.back.Add(returnTime)
 }
-
-func isConflict(err error) bool {
-	var conflict *store.ConflictError
-	return errors.As(err, &conflict)
-}
