--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -12,13 +12,16 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/fleet"
 	"github.com/carobwharf/carobwharf/logging"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
+	nodefleet "github.com/carobwharf/carobwharf/node/fleet"
 	"github.com/carobwharf/carobwharf/node/follow"
 	nodeintake "github.com/carobwharf/carobwharf/node/intake"
 	"github.com/carobwharf/carobwharf/node/pools"
 	"github.com/carobwharf/carobwharf/platform/caller"
+	platformfleet "github.com/carobwharf/carobwharf/platform/fleet"
 	"github.com/carobwharf/carobwharf/platform/operator"
 	"github.com/carobwharf/carobwharf/platform/policy"
 	platformstore "github.com/carobwharf/carobwharf/platform/store"
@@ -35,6 +38,7 @@
 	storeConnections = 48
 	orderTimeout     = 600 * time.Millisecond // of an order to a worker
 	policyTimeout    = 3 * time.Second
+	fleetTimeout     = time.Second
 )
 
 // Following of the store's tables.
@@ -43,7 +47,7 @@
 	// that went silent costs this and the slack of the adapter.
 	feedWait = 800 * time.Millisecond
 	// leaseGap lets renewals of several leases share one reading.
-	leaseGap = 250 * time.Millisecond
+	leaseGap = 120 * time.Millisecond
 	// operatorGap lets changes of the configuration in quick succession share one.
 	operatorGap = 50 * time.Millisecond
 	// workGap lets submissions that come together share one reading.
@@ -67,6 +71,7 @@
 	log      hclog.Logger
 	sup      *duty.Supervisor
 	pools    *pools.Duty
+	fleet    *nodefleet.Duty // nil without a fleet service
 	callers  *caller.Server
 	store    *platformstore.Client
 	ready    atomic.Bool // has a configuration
@@ -101,10 +106,20 @@
 		Dial:   func(id, addr string) pools.Worker { return worker.New(id, addr, orderTimeout) },
 		Decode: worker.Decode, Wanted: wanted, Log: part("pools"), Metrics: o.Metrics,
 	})
+	viewers := []*ring.Ring[*board.View]{in.Views, n.pools.Views}
+	if o.Settings.Fleet != "" {
+		n.fleet = nodefleet.New(nodefleet.Options{
+			Self: o.Settings.ID, Bounds: o.Settings.Bounds, Table: n.store,
+			Service: platformfleet.New(o.Settings.Fleet, o.Settings.ID, fleetTimeout),
+			Refusal: fleetRefusal, WaveStatus: waveStatus, Log: part("fleet"), Metrics: o.Metrics,
+		})
+		viewers = append(viewers, n.fleet.Views)
+	}
 	readiness := ring.New[*board.View]("readiness-views", 1, ring.KeepNewest)
+	viewers = append(viewers, readiness)
 	views := board.New(board.Options{
 		Operator: board.Operator{Configuration: decodeConfiguration, Wave: decodeWave},
-		Out:      []*ring.Ring[*board.View]{in.Views, n.pools.Views, readiness},
+		Out:      viewers,
 		Log:      part("board"),
 	})
 	var err error
@@ -127,6 +142,9 @@
 	n.sup.Add(duty.Duty{Name: "intake", Run: in.Run})
 	n.sup.Add(duty.Duty{Name: "callers", Run: n.callers.Run})
 	n.sup.Add(duty.Duty{Name: "pools", Run: n.pools.Run})
+	if n.fleet != nil {
+		n.sup.Add(duty.Duty{Name: "fleet", Run: n.fleet.Run})
+	}
 	n.sup.Add(duty.Duty{Name: "board", Run: views.Run})
 	follower(operator.Table, operatorGap, whole, nil, views.In)
 	follower(store.TableControl, leaseGap, nil, nil, views.In)
@@ -151,6 +169,22 @@
 	return w, err == nil, err
 }
 
+func fleetRefusal(err error) (fleet.Result, bool) {
+	switch {
+	case errors.Is(err, platformfleet.ErrBusy):
+		return fleet.Busy, true
+	case errors.Is(err, platformfleet.ErrRefused):
+		return fleet.Refused, true
+	case errors.Is(err, platformfleet.ErrFenced):
+		return fleet.Fenced, true
+	}
+	return 0, false
+}
+
+func waveStatus(wave int, done bool) store.Op {
+	return store.Op{Kind: store.OpPut, Key: operator.KeyWaveStatus(wave), Value: operator.EncodeWaveStatus(done)}
+}
+
 func (n *Node) watchReadiness(ctx context.Context, views *ring.Ring[*board.View]) error {
 	for {
 		select {
@@ -193,14 +227,16 @@
 	n.callers.Leave()
 	end := time.NewTimer(min(leaveTime, n.set.StopWithin/2))
 	defer end.Stop()
-	released := make(chan struct{})
-	if err := n.pools.Release.Put(context.Background(), released); err != nil {
-		n.log.Warn("pools were not released", "error", err)
+	n.release("pools", n.pools.Release)
+	if n.fleet != nil {
+		n.release("fleet", n.fleet.Release)
 	}
 	<-end.C
-	select {
-	case <-released:
-	default:
-		n.log.Warn("not all pools were released in time")
+}
+
+// release asks a duty to give its leases up.
+func (n *Node) release(name string, to *ring.Ring[struct{}]) {
+	if err := to.Put(context.Background(), struct{}{}); err != nil {
+		n.log.Warn("leases were not released", "duty", name, "error", err)
 	}
 }
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -43,6 +43,8 @@
 	release        map[string]bool
 	releaseVersion uint64
 	former         map[string]time.Time // engaged workers of the former owner; when their leases lapse
+	short          int                  // thousandths of a core that waiting tasks lack
+	told           int                  // of it, in the stored lease row
 	changed        bool                 // placement may find something new to do
 	deposed        bool
 	wake           time.Time
--- a/engine/place.go
+++ b/engine/place.go
@@ -40,7 +40,7 @@
 	if !m.changed {
 		return
 	}
-	m.changed = false
+	m.changed, m.short = false, 0
 	var refused []placement.Size
 	for _, c := range m.candidates(now) {
 		s := c.step
@@ -50,14 +50,31 @@
 		}
 		plain := s.spec.MaxPerWorker == 0 && s.spec.Label == "" && s.occ.job.queue.Policy == nil && !s.spec.Fills
 		if plain && slices.ContainsFunc(refused, func(r placement.Size) bool { return r.Fits(s.spec.Size) }) {
+			m.addShort(now, c)
 			continue
 		}
-		if !m.placeStep(now, s) && plain {
+		if m.placeStep(now, s) {
+			continue
+		}
+		m.addShort(now, c)
+		if plain {
 			refused = append(refused, s.spec.Size)
 		}
 	}
 }
 
+// addShort counts the processor time that a step's waiting tasks lack.
+func (m *Machine) addShort(now time.Time, c candidate) {
+	if c.urgency == fills {
+		return
+	}
+	for _, t := range c.step.tasks {
+		if t.waiting(now) {
+			m.short += c.step.spec.Size.MilliCores
+		}
+	}
+}
+
 // candidates returns the steps with waiting tasks in the order in which they
 // are placed.
 func (m *Machine) candidates(now time.Time) []candidate {
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -237,15 +237,19 @@
 }
 
 // Urgent reports whether something waits for Collect that callers wait for:
-// the end of a job, or a new worker that cannot be used before.
+// the end of a job, a new worker that cannot be used before, a released
+// machine, or a lack of workers that has grown.
 func (m *Machine) Urgent() bool {
 	for _, j := range m.order {
 		if j.dirty && j.state.Ended() {
 			return true
 		}
 	}
+	if m.short > m.told+m.told/4 {
+		return true
+	}
 	for _, w := range m.workers {
-		if w.synced && !w.engaged && !w.gone {
+		if w.synced && !w.engaged && !w.gone || m.released(w) && !w.reported {
 			return true
 		}
 	}
@@ -288,6 +292,7 @@
 		if whole {
 			b.ends[w.ID] = w.seen
 		}
+		w.reported = m.released(w)
 	}
 	for id := range m.former {
 		if _, ok := b.engaged[id]; !ok {
@@ -323,6 +328,8 @@
 	Short    int             `json:"short,omitempty"`   // thousandths of a core that waiting tasks lack
 	Machines []MachineStatus `json:"machines,omitempty"`
 	Release  uint64          `json:"release,omitempty"` // version of the fleet's row that Released answers
+	// PerMachine is the greatest capacity of a machine, in thousandths of a core.
+	PerMachine int `json:"per,omitempty"`
 }
 
 // MachineStatus is the load of a machine of the pool.
@@ -335,28 +342,26 @@
 	Released bool   `json:"free,omitempty"` // nothing runs or will be started on it
 }
 
+// released reports whether nothing runs or will be started on a machine that
+// is to be released, and no end is left to be stored.
+func (m *Machine) released(w *worker) bool {
+	return m.release[w.Machine] && (w.synced || m.settled()) && len(w.runs) == 0 && w.seen <= w.storable
+}
+
 // Status returns the present state.
 func (m *Machine) Status(now time.Time) Status {
 	s := Status{Waiting: m.waitingCount(), Release: m.releaseVersion}
-	for _, c := range m.candidates(now) {
-		if c.urgency == fills {
-			continue
-		}
-		for _, t := range c.step.tasks {
-			if t.waiting(now) {
-				s.Short += c.step.spec.Size.MilliCores
-			}
-		}
-	}
+	s.Short, m.told = m.short, m.short
 	for _, id := range m.ids {
 		w := m.workers[id]
 		if !w.listed || w.gone {
 			continue
 		}
+		s.PerMachine = max(s.PerMachine, w.Capacity.MilliCores)
 		s.Machines = append(s.Machines, MachineStatus{
 			Machine: w.Machine, Used: w.taken.MilliCores, Runs: len(w.runs), Lasting: m.lastingAt(w),
 			Usable:   m.usable(now, w),
-			Released: m.release[w.Machine] && (w.synced || m.settled()) && len(w.runs) == 0 && w.seen <= w.storable,
+			Released: m.released(w),
 		})
 	}
 	return s
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -55,6 +55,7 @@
 	holding  bool
 	nextHold time.Time
 	lastHold time.Time // sending of the last hold that was answered
+	reported bool      // the owner's row says that its machine is released
 	suspect  bool      // a call went unanswered since the last answer
 	noRoom   time.Time // refused for want of room; nothing is started until then
 
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -146,7 +146,7 @@
 		c.Engaged, c.Status = p.batch.Engaged, p.machine.Status(now)
 		more = d.encode(p)
 	}
-	w := p.Renew(now, c, d.leaving != nil)
+	w := p.Renew(now, c, d.leaving)
 	w.More = more
 	d.commit(ctx, p, w)
 	return now.Add(idleWake)
@@ -156,7 +156,7 @@
 // there is nothing to store but the renewal.
 func (d *Duty) urgency(p *pool) time.Duration {
 	switch {
-	case d.leaving != nil || p.machine != nil && p.machine.Urgent():
+	case d.leaving || p.machine != nil && p.machine.Urgent():
 		return flushGap
 	case p.machine != nil && p.machine.Dirty():
 		return lazyFlushGap
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -84,7 +84,7 @@
 	Options
 	Views   *ring.Ring[*board.View]
 	Deltas  *ring.Ring[follow.Delta]
-	Release *ring.Ring[chan struct{}] // gives all pools up; the channel is closed when that is stored
+	Release *ring.Ring[struct{}] // gives all pools up
 	results *ring.Ring[any]
 	calls   pond.Pool
 	stores  pond.Pool
@@ -94,7 +94,7 @@
 	names     []string
 	registry  registry
 	clients   map[client]Worker
-	leaving   chan struct{}
+	leaving   bool
 	following bool
 }
 
@@ -106,7 +106,7 @@
 		Options: o,
 		Views:   ring.New[*board.View]("pool-views", 1, ring.KeepNewest),
 		Deltas:  ring.New[follow.Delta]("pool-deltas", deltaDepth, ring.Wait),
-		Release: ring.New[chan struct{}]("pool-release", 1, ring.Refuse),
+		Release: ring.New[struct{}]("pool-release", 1, ring.Refuse),
 		results: ring.New[any]("pool-results", resultDepth, ring.Wait),
 		calls:   pond.NewPool(workerCalls),
 		stores:  pond.NewPool(storeCalls),
@@ -128,8 +128,8 @@
 			d.see(v)
 		case delta := <-d.Deltas.C():
 			d.takeDelta(delta)
-		case done := <-d.Release.C():
-			d.leaving = done
+		case <-d.Release.C():
+			d.leaving = true
 		case r := <-d.results.C():
 			d.takeResult(r)
 		case <-timer.C:
@@ -168,14 +168,13 @@
 	}
 	for _, name := range d.names {
 		p := d.pools[name]
-		if d.leaving == nil && p.ClaimDue(now, d.view, time.Duration(held)*claimBackoff) {
+		if !d.leaving && p.ClaimDue(now, d.view, time.Duration(held)*claimBackoff) {
 			d.commit(ctx, p, p.Claim(now, d.view))
 			held++
 		}
 		wake = minTime(wake, d.drive(ctx, now, p))
 	}
 	d.follow(ctx, held > 0)
-	d.finishLeaving(held)
 	return max(time.Millisecond, wake.Sub(steady.Now()))
 }
 
@@ -195,17 +194,6 @@
 	}
 }
 
-func (d *Duty) finishLeaving(held int) {
-	if d.leaving == nil || held > 0 {
-		return
-	}
-	select {
-	case <-d.leaving:
-	default:
-		close(d.leaving)
-	}
-}
-
 func (d *Duty) see(v *board.View) {
 	d.view = v
 	if v.Configuration == nil {
