Let the runs of silent workers lapse, and match loads by worker

Two faults: each repeated hold of a worker that did not answer moved the end of its lease, so its tasks were never started again; and the fleet's owner took the load of a machine's former worker for that of its present one, and stopped machines with work on them. Ruled out: lost submissions (all jobs were known), the store's failures.

--- a/engine/watch.go
+++ b/engine/watch.go
@@ -335,6 +335,7 @@
 // MachineStatus is the load of a machine of the pool.
 type MachineStatus struct {
 	Machine  string `json:"m"`
+	Worker   string `json:"w"`           // its worker's id
 	Used     int    `json:"u,omitempty"` // thousandths of a core
 	Runs     int    `json:"r,omitempty"`
 	Lasting  int    `json:"l,omitempty"` // of the runs
@@ -359,7 +360,7 @@
 		}
 		s.PerMachine = max(s.PerMachine, w.Capacity.MilliCores)
 		s.Machines = append(s.Machines, MachineStatus{
-			Machine: w.Machine, Used: w.taken.MilliCores, Runs: len(w.runs), Lasting: m.lastingAt(w),
+			Machine: w.Machine, Worker: w.ID, Used: w.taken.MilliCores, Runs: len(w.runs), Lasting: m.lastingAt(w),
 			Usable:   m.usable(now, w),
 			Released: m.released(w),
 		})
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -167,10 +167,12 @@
 
 func (m *Machine) hold(now time.Time, w *worker) {
 	h := Hold{Target: w.target(), Token: m.cfg.Token, Seen: w.storable}
-	if w.synced {
+	// A worker that does not answer gets no longer lease: what it runs must
+	// lapse at some time, so that it can be started elsewhere.
+	if w.synced && !w.suspect {
 		h.Deadline = w.now(now) + m.cfg.Lease.Milliseconds()
 		w.extend(now, h.Deadline)
-		if len(w.runs) > 0 && !w.suspect && !m.needsNews(w) {
+		if len(w.runs) > 0 && !m.needsNews(w) {
 			h.Wait = holdWait
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -352,11 +352,13 @@
 		p.Pool = seen
 		p.sample(m.now)
 		for _, load := range seen.Status.Machines {
-			loads[load.Machine] = load
+			loads[load.Worker] = load
 		}
 	}
-	for id, x := range m.machines {
-		x.load, x.seen = loads[id]
+	// An entry of an earlier worker of the machine, in this pool or another,
+	// says nothing about the present one.
+	for _, x := range m.machines {
+		x.load, x.seen = loads[x.Worker]
 	}
 }
 
