Keep the terms of a job's queue with its submission

Its queue was newer than the configuration that the pool's owner knew, and the stand-in for an unknown queue allowed one attempt. Measured: test fails before, passes after. Conclusion: a submission carries its queue's terms.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -34,10 +34,11 @@
 	running []RunReport
 	ended   []EndReport
 	ends    int
-	load    int // of every run that is listed
-	percent int
+	still   bool // its runs make no progress
 }
 
+var testQueue = workload.Queue{Name: "q", Pool: "p", MaxAttempts: 4, Stretch: 1.6, Target: 600 * time.Millisecond}
+
 const testLease = 6 * time.Second
 
 func testConfig(token uint64) Config {
@@ -55,9 +56,7 @@
 		w.born = r.now.Add(-time.Minute)
 		r.workers[w.ID] = w
 	}
-	r.step(QueuesSeen{Queues: []workload.Queue{
-		{Name: "q", Pool: "p", MaxAttempts: 4, Stretch: 1.6, Target: 600 * time.Millisecond},
-	}}, r.listed())
+	r.step(QueuesSeen{Queues: []workload.Queue{testQueue}}, r.listed())
 	return r
 }
 
@@ -67,7 +66,6 @@
 			Life: workload.Life{ID: id, Born: 1}, Machine: "m-" + id, Pool: "p", Addr: id,
 			Capacity: placement.Size{MilliCores: 16000, MemoryMB: 32768}, Labels: []string{"a", "r1"},
 		},
-		percent: 10,
 	}
 }
 
@@ -110,7 +108,7 @@
 		if w.refuse != OK {
 			return []Event{StartAnswered{Worker: a.Life, Task: a.Task, Attempt: a.Attempt, Result: w.refuse}}
 		}
-		w.running = append(w.running, RunReport{Task: a.Task, Attempt: a.Attempt, Percent: w.percent})
+		w.running = append(w.running, RunReport{Task: a.Task, Attempt: a.Attempt})
 		if w.deaf {
 			return []Event{StartAnswered{Worker: a.Life, Task: a.Task, Attempt: a.Attempt, Result: Unknown}}
 		}
@@ -142,6 +140,11 @@
 	if w == nil || w.silent {
 		return HoldAnswered{Worker: h.Life, Sent: r.now, Result: NotDelivered}
 	}
+	for i := range w.running {
+		if !w.still {
+			w.running[i].Percent++
+		}
+	}
 	var kept []EndReport
 	for _, e := range w.ended {
 		if e.Number > h.Seen {
@@ -176,7 +179,7 @@
 }
 
 func testJob(id string, steps ...workload.Step) JobSeen {
-	return JobSeen{Submission: workload.Submission{ID: id, Queue: "q", Pool: "p", Spec: "x", Steps: steps}}
+	return JobSeen{Submission: workload.Submission{ID: id, Queue: testQueue, Pool: "p", Spec: "x", Steps: steps}}
 }
 
 func simpleStep(count int) workload.Step {
@@ -200,3 +203,17 @@
 	require.Equal(t, "b", r.starts[1].Life.ID)
 	require.Greater(t, r.starts[1].Attempt, r.starts[0].Attempt)
 }
+
+// A job whose queue the owner did not know was failed at its first failure.
+func TestJobOfUnknownQueueKeepsTheTermsOfItsSubmission(t *testing.T) {
+	r := newRig(t, 1, nil, newWorker("a"), newWorker("b"))
+	job := testJob("j1", simpleStep(1))
+	job.Submission.Queue.Name = "newer"
+	r.step(job)
+	for n := 1; n < testQueue.MaxAttempts; n++ {
+		last := r.starts[len(r.starts)-1]
+		r.workers[last.Life.ID].end(last.Task, last.Attempt, EndFailed)
+		r.pass(4 * time.Second)
+		require.Len(t, r.starts, n+1)
+	}
+}
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -163,7 +163,7 @@
 		m.queues[q.Name] = q
 	}
 	for _, j := range m.order {
-		if q, ok := m.queues[j.sub.Queue]; ok {
+		if q, ok := m.queues[j.sub.Queue.Name]; ok {
 			j.queue = q
 		}
 	}
@@ -182,10 +182,11 @@
 		m.ended[id] = e.Progress.State
 		return
 	}
-	queue, ok := m.queues[e.Submission.Queue]
+	queue, ok := m.queues[e.Submission.Queue.Name]
 	if !ok {
-		// The queue was removed after the job was accepted; the job still runs.
-		queue = workload.Queue{Name: e.Submission.Queue, Pool: e.Submission.Pool, MaxAttempts: 1, Stretch: 1, Priority: 1}
+		// The queue was removed after the job was accepted, or is newer than the
+		// configuration that this process knows.
+		queue = e.Submission.Queue
 	}
 	j := newJob(now, m.wall, e, queue)
 	m.jobs[id] = j
--- a/engine/place.go
+++ b/engine/place.go
@@ -394,7 +394,7 @@
 	counts := map[string]int{}
 	for _, j := range m.order {
 		if j.state == workload.Queued && j.sub.Repeat.Count == 0 {
-			counts[j.sub.Queue]++
+			counts[j.sub.Queue.Name]++
 		}
 	}
 	return counts
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -216,7 +216,7 @@
 
 func (m *Machine) submit(p *pending) {
 	s := &p.Submission
-	s.ID, s.Queue, s.Pool = p.job, p.queue.Name, p.queue.Pool
+	s.ID, s.Queue, s.Pool = p.job, p.queue, p.queue.Pool
 	if p.Bad == "" {
 		if err := s.Validate(); err != nil {
 			p.Bad = err.Error()
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -97,8 +97,8 @@
 // Submission is a job as its caller handed it in.
 type Submission struct {
 	ID       string   `json:"id"`
-	Queue    string   `json:"queue"`
-	Pool     string   `json:"pool"` // at the time of submission
+	Pool     string   `json:"pool"`  // at the time of submission
+	Queue    Queue    `json:"queue"` // likewise; the job keeps its terms when the queue is removed
 	Spec     string   `json:"spec"`
 	Steps    []Step   `json:"steps"`
 	Repeat   Schedule `json:"repeat,omitzero"`
