Place the jobs with the least work left first

Cause: at peaks a pool is asked for more than it holds; placing by the latest start made most jobs late by a little. Ruled out: prices (unchanged).

--- a/engine/job.go
+++ b/engine/job.go
@@ -226,3 +226,13 @@
 	}
 	return p
 }
+
+// work returns the estimate of what the occurrence has left to do, in
+// core-seconds.
+func (o *occurrence) work() float64 {
+	sum := 0.0
+	for _, s := range o.steps {
+		sum += float64(s.left) * s.spec.Estimate.Seconds() * float64(s.spec.Size.MilliCores) / 1000
+	}
+	return sum
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -32,6 +32,7 @@
 	urgency  urgency
 	priority int
 	latest   time.Time // latest start that meets the objective
+	work     float64   // core-seconds that the occurrence has left
 }
 
 // place starts waiting tasks on workers with room.
@@ -92,7 +93,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), a.latest.Compare(b.latest))
+		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), cmp.Compare(a.work, b.work), a.latest.Compare(b.latest))
 	})
 	return list
 }
@@ -118,6 +119,7 @@
 	c := candidate{step: s, priority: j.queue.Priority}
 	objective := s.occ.objective()
 	c.latest = objective.Add(-s.remaining)
+	c.work = s.occ.work()
 	switch {
 	case s.spec.Lasting && s.spec.Fills:
 		c.urgency = fills
