Plan waves from the start and keep room for lasting tasks

Cause: two to four machines of each wave were left at its end. The last ones had lasting tasks, which left their machine only when another had room, and finite tasks took up each room that became free. Ruled out: the bound on machines in upkeep (never reached).

--- a/engine/event.go
+++ b/engine/event.go
@@ -31,6 +31,7 @@
 // of a version of its row.
 type ReleaseSeen struct {
 	Machines map[string]bool
+	Due      map[string]bool // machines that will have to be released
 	Version  uint64
 }
 
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -42,6 +42,8 @@
 	ids            []string // of workers, in order
 	release        map[string]bool
 	releaseVersion uint64
+	due            map[string]bool      // machines that will have to be released
+	reserved       map[*worker]bool     // kept free for lasting tasks in this pass
 	former         map[string]time.Time // engaged workers of the former owner; when their leases lapse
 	short          int                  // thousandths of a core that waiting tasks lack
 	told           int                  // of it, in the stored lease row
@@ -72,7 +74,7 @@
 	m := &Machine{
 		cfg: cfg, queues: map[string]workload.Queue{}, jobs: map[string]*job{},
 		ended: map[string]workload.JobState{}, workers: map[string]*worker{},
-		release: map[string]bool{}, former: map[string]time.Time{},
+		release: map[string]bool{}, reserved: map[*worker]bool{}, former: map[string]time.Time{},
 	}
 	lapse := now.Add(stretchLease(cfg.MaxLease))
 	for _, e := range former {
@@ -141,7 +143,7 @@
 	case WorkersSeen:
 		m.seeWorkers(now, e.Workers)
 	case ReleaseSeen:
-		m.release, m.releaseVersion, m.changed = e.Machines, e.Version, true
+		m.release, m.due, m.releaseVersion, m.changed = e.Machines, e.Due, e.Version, true
 	case HoldAnswered:
 		m.held(now, e)
 	case StartAnswered:
--- a/engine/place.go
+++ b/engine/place.go
@@ -43,6 +43,7 @@
 	}
 	m.changed, m.short = false, 0
 	var refused []placement.Size
+	clear(m.reserved)
 	for _, c := range m.candidates(now) {
 		s := c.step
 		if s.spec.Gang {
@@ -58,12 +59,51 @@
 			continue
 		}
 		m.addShort(now, c)
+		if c.urgency == serves {
+			m.reserve(s)
+		}
 		if plain {
 			refused = append(refused, s.spec.Size)
 		}
 	}
 }
 
+// reserve keeps a worker free of further finite tasks until a lasting task
+// fits there; else small tasks would take up each room that becomes free.
+func (m *Machine) reserve(s *step) {
+	var best *worker
+	for _, id := range m.ids {
+		w := m.workers[id]
+		if m.reserved[w] || !m.couldTake(s, w) {
+			continue
+		}
+		if best == nil || w.free().MilliCores > best.free().MilliCores {
+			best = w
+		}
+	}
+	if best != nil {
+		m.reserved[best] = true
+	}
+}
+
+// couldTake reports whether a worker has room for a lasting task beside the
+// lasting ones that it has.
+func (m *Machine) couldTake(s *step, w *worker) bool {
+	if !w.listed || !w.synced || !w.engaged || w.gone || w.suspect || w.Draining || m.release[w.Machine] {
+		return false
+	}
+	if s.spec.MaxPerWorker > 0 && s.perWorker[w.ID] >= s.spec.MaxPerWorker || s.spec.Label != "" && !w.has(s.spec.Label) {
+		return false
+	}
+	room := w.Capacity
+	for _, r := range w.runs {
+		if r.task.step.spec.Lasting {
+			room = room.Minus(r.task.step.takes())
+		}
+	}
+	return s.takes().Fits(room)
+}
+
 // addShort counts the processor time that a step's waiting tasks lack.
 func (m *Machine) addShort(now time.Time, c candidate) {
 	if c.urgency == fills {
@@ -175,7 +215,7 @@
 	needs := s.takes()
 	for _, id := range m.ids {
 		w := m.workers[id]
-		if !m.usable(now, w) || !m.allows(now, s, w) {
+		if !m.usable(now, w) || !m.allows(now, s, w) || m.reserved[w] && !s.spec.Lasting {
 			continue
 		}
 		free := w.free()
@@ -208,8 +248,10 @@
 // Weights of score, in thousandths of a core. Each outweighs a worker's whole
 // capacity, in the order of their size.
 const (
-	weightRack  = 1_000_000
-	weightAvoid = 10_000_000
+	weightLasting = 1_000
+	weightDue     = 500_000
+	weightRack    = 1_000_000
+	weightAvoid   = 10_000_000
 )
 
 func (m *Machine) score(s *step, t *task, w *worker, free placement.Size) int {
@@ -218,7 +260,10 @@
 		score = free.MilliCores
 	}
 	if s.spec.Lasting && !s.spec.Fills {
-		score = 1000 * m.lastingAt(w)
+		score = weightLasting * m.lastingAt(w)
+		if m.due[w.Machine] {
+			score -= weightDue
+		}
 	}
 	if s.spec.DataRack != "" && w.has(s.spec.DataRack) {
 		score += weightRack
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -136,17 +136,11 @@
 	return false
 }
 
+// hasRoomElsewhere reports whether another worker can take a lasting task,
+// once finite tasks there have ended.
 func (m *Machine) hasRoomElsewhere(s *step, except *worker) bool {
-	needs := s.takes()
 	for _, id := range m.ids {
-		w := m.workers[id]
-		if w == except || !w.listed || !w.synced || !w.engaged || w.gone || w.suspect || w.Draining || m.release[w.Machine] {
-			continue
-		}
-		if s.spec.MaxPerWorker > 0 && s.perWorker[w.ID] >= s.spec.MaxPerWorker || s.spec.Label != "" && !w.has(s.spec.Label) {
-			continue
-		}
-		if needs.Fits(w.free()) {
+		if w := m.workers[id]; w != except && m.couldTake(s, w) {
 			return true
 		}
 	}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -9,29 +9,28 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
-// Waves.
-const (
-	// evacuation is how long it takes to move the work of a machine away.
-	evacuation = 2 * time.Second
-	// waveHaste is how much faster than needed waves go, so that failures in
-	// mid-wave leave them in time.
-	waveHaste = 1.6
-)
+// evacuation is how long it may take to move the work of a busy machine away:
+// its lasting tasks leave one by one, and finite ones end.
+const evacuation = 6 * time.Second
 
-// planWaves chooses machines for upkeep.
+// planWaves chooses machines for upkeep. Machines without lasting tasks have
+// it as soon as their pool can spare them. Of the others one of a pool at a
+// time is emptied, from the beginning of the wave, since that takes long.
 func (m *Machine) planWaves() {
 	for _, number := range m.waveNumbers() {
 		w := m.waves[number]
 		if w.Number == 0 || w.reported == 2 {
 			continue
 		}
-		left := m.left(w)
+		hurry := m.hurry(w)
 		open := m.planned(w)
-		for open < m.atOnce(w, left) {
-			x := m.nextForUpkeep(w)
-			if x == nil {
+		for _, x := range m.dueForUpkeep(w) {
+			if open >= w.MaxDown+m.emptying(w) {
 				break
 			}
+			if !hurry && !m.canSpare(x) {
+				continue
+			}
 			x.plan = &plan{wave: number, since: m.now}
 			m.emit(Decision{What: "upkeep-planned", Machine: x.ID, Pool: x.Pool, Wave: number})
 			open++
@@ -39,6 +38,55 @@
 	}
 }
 
+// emptying returns the machines of a wave that have a plan and still have work.
+func (m *Machine) emptying(w *wave) int {
+	n := 0
+	for _, id := range w.Machines {
+		if x := m.machines[id]; x != nil && x.plan != nil && x.plan.wave == w.Number && x.load.Runs > 0 && x.plan.doneAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// hurry reports whether a wave would be late if its machines waited for times
+// at which their pools can spare them.
+func (m *Machine) hurry(w *wave) bool {
+	left := m.left(w)
+	rounds := (left + w.MaxDown - 1) / max(1, w.MaxDown)
+	return m.now.Add(evacuation + time.Duration(rounds)*m.cfg.UpkeepTime).After(w.Since.Add(w.Within))
+}
+
+// canSpare reports whether the machine's pool can do without it for the time
+// of its upkeep.
+func (m *Machine) canSpare(x *machine) bool {
+	p := m.pools[x.Pool]
+	if p == nil || p.Standby {
+		return true
+	}
+	if !p.Owned {
+		return false
+	}
+	if x.load.Lasting > 0 {
+		return m.awayIn(x.Pool, true) == 0
+	}
+	return x.load.Runs == 0 && p.Status.Short == 0 && m.awayIn(x.Pool, false) < max(1, m.have(x.Pool)/3)
+}
+
+// dueForUpkeep returns the machines of a wave that may be planned, those first
+// whose absence costs least.
+func (m *Machine) dueForUpkeep(w *wave) []*machine {
+	var due []*machine
+	for _, id := range w.Machines {
+		x := m.machines[id]
+		if x != nil && x.plan == nil && !w.kept[id] && x.State == workload.MachineUp {
+			due = append(due, x)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *machine) int { return cmp.Compare(m.absenceCost(a), m.absenceCost(b)) })
+	return due
+}
+
 func (m *Machine) waveNumbers() []int {
 	numbers := make([]int, 0, len(m.waves))
 	for n := range m.waves {
@@ -59,57 +107,47 @@
 	return n
 }
 
-// atOnce returns how many machines of a wave should be under way.
-func (m *Machine) atOnce(w *wave, left int) int {
-	remaining := w.Since.Add(w.Within).Sub(m.now) - evacuation - m.cfg.UpkeepTime
-	if remaining <= 0 {
-		return w.MaxDown
-	}
-	each := evacuation + m.cfg.UpkeepTime
-	need := math.Ceil(waveHaste * float64(left) * float64(each) / float64(remaining))
-	return min(w.MaxDown, max(1, int(need)))
-}
-
-// nextForUpkeep returns the machine of the wave whose absence costs least.
-func (m *Machine) nextForUpkeep(w *wave) *machine {
-	var best *machine
-	for _, id := range w.Machines {
-		x := m.machines[id]
-		if x == nil || x.plan != nil || w.kept[id] || x.State != workload.MachineUp {
-			continue
-		}
-		if best == nil || m.absenceCost(x) < m.absenceCost(best) {
-			best = x
-		}
-	}
-	return best
-}
-
 // absenceCost orders machines by what their absence costs: nothing in a
-// standby pool, less without work, more in a pool that lacks machines.
+// standby pool, less without work.
 func (m *Machine) absenceCost(x *machine) int {
-	p := m.pools[x.Pool]
-	if p == nil || p.Standby {
+	if p := m.pools[x.Pool]; p == nil || p.Standby {
 		return 0
 	}
-	const perRun, perShort, perAway = 1, 100, 20
-	cost := 1 + perRun*x.load.Runs + 10*x.load.Lasting
-	if p.Status.Short > 0 {
-		cost += perShort
-	}
-	return cost + perAway*m.awayIn(x.Pool)
+	const perRun, perLasting = 1, 10
+	return 1 + perRun*x.load.Runs + perLasting*x.load.Lasting
 }
 
-func (m *Machine) awayIn(name string) int {
+// awayIn returns the machines of a pool that have a plan, all or those with
+// lasting tasks.
+func (m *Machine) awayIn(name string, lasting bool) int {
 	n := 0
 	for _, id := range m.ids {
-		if x := m.machines[id]; x.Pool == name && x.plan != nil {
+		if x := m.machines[id]; x.Pool == name && x.plan != nil && (!lasting || x.load.Lasting > 0) {
 			n++
 		}
 	}
 	return n
 }
 
+// Due returns the machines whose upkeep is still to come. Work that lasts is
+// better placed elsewhere.
+func (m *Machine) Due() []string {
+	var due []string
+	for _, number := range m.waveNumbers() {
+		w := m.waves[number]
+		if w.Number == 0 || w.reported == 2 {
+			continue
+		}
+		for _, id := range w.Machines {
+			if m.machines[id] != nil && !w.kept[id] {
+				due = append(due, id)
+			}
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
 // Sizing of pools.
 const (
 	// headroom is how much more than the expected load a pool should hold.
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -182,7 +182,7 @@
 	}
 	c := d.holder.Control
 	if d.machine != nil {
-		c.Release, c.Kept = d.machine.Release(), d.machine.Kept()
+		c.Release, c.Due, c.Kept = d.machine.Release(), d.machine.Due(), d.machine.Kept()
 	}
 	d.asked = c.Release
 	d.commit(ctx, d.holder.Renew(now, c, d.leaving))
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -222,12 +222,15 @@
 
 // released returns the machines that the fleet's owner wants without work.
 func (d *Duty) released() engine.ReleaseSeen {
-	e := engine.ReleaseSeen{Machines: map[string]bool{}}
+	e := engine.ReleaseSeen{Machines: map[string]bool{}, Due: map[string]bool{}}
 	fleet := d.view.Leases[store.ControlFleet]
 	e.Version = fleet.Version
 	for _, m := range fleet.Release {
 		e.Machines[m] = true
 	}
+	for _, m := range fleet.Due {
+		e.Due[m] = true
+	}
 	return e
 }
 
--- a/rows/work.go
+++ b/rows/work.go
@@ -28,6 +28,7 @@
 	Engaged []engine.Engaged `json:",omitempty"` // workers that may have runs of the holder
 	Status  engine.Status    `json:",omitzero"`  // of a pool
 	Release []string         `json:",omitempty"` // machines that the fleet's holder wants without work
+	Due     []string         `json:",omitempty"` // machines whose upkeep is still to come
 	Kept    map[int][]string `json:",omitempty"` // by wave: machines whose upkeep has begun
 }
 
