Send callers on early when the store is out of reach

Cause: a VM that the store turned away kept submissions for up to 2.8 s before it answered 504, and stayed ready, though other VMs reached the store. Ruled out: longer patience in place (the outage lasts longer than callers wait).

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/fleet"
+	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/logging"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
@@ -185,15 +186,28 @@
 	return store.Op{Kind: store.OpPut, Key: operator.KeyWaveStatus(wave), Value: operator.EncodeWaveStatus(done)}
 }
 
+// unreadyAfter is how long the store may be out of reach before the VM sends
+// callers elsewhere.
+const unreadyAfter = 400 * time.Millisecond
+
+// watchReadiness keeps the answer to readiness checks: the process has a
+// configuration and reaches the store.
 func (n *Node) watchReadiness(ctx context.Context, views *ring.Ring[*board.View]) error {
+	timer := time.NewTimer(unreadyAfter)
+	defer timer.Stop()
+	view := &board.View{}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case v := <-views.C():
-			if v.Configuration != nil && !n.ready.Swap(true) {
-				n.log.Info("ready", "configuration", v.Configuration.Version)
-			}
+		case view = <-views.C():
+		case <-timer.C:
+		}
+		timer.Reset(unreadyAfter)
+		reaches := view.Failing.IsZero() || steady.Now().Sub(view.Failing) < unreadyAfter
+		ready := view.Configuration != nil && reaches
+		if n.ready.Swap(ready) != ready {
+			n.log.Info("readiness changed", "ready", ready, "reaches_store", reaches)
 		}
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -110,10 +110,9 @@
 
 // Limits of the time that a request is kept.
 const (
-	// refuseAfter bounds how long a submission that the store does not take is
-	// repeated before the caller is refused. It is a quarter of the shortest
-	// objective of an interactive queue.
-	refuseAfter = 300 * time.Millisecond
+	// giveUpAfter bounds how long a request that the store does not take is
+	// repeated. Another VM may reach the store, so the caller is sent on early.
+	giveUpAfter = 300 * time.Millisecond
 	// defaultPatience is used if the caller does not tell its own.
 	defaultPatience = 2 * time.Second
 	// replyMargin is left of the caller's patience for the reply.
@@ -310,14 +309,13 @@
 // repeat calls the store again after a failure, or gives the request up.
 func (m *Machine) repeat(now time.Time, p *pending, a Answer) {
 	p.unsure = p.unsure || a.Result == Unknown
-	refuse := p.Kind == Submit && !p.unsure && now.Sub(p.arrived) >= refuseAfter
-	if refuse {
-		m.reply(p, Reply{Outcome: NotAccepted, Why: "the store does not take the job", Retry: comeBack})
+	if now.Sub(p.arrived) < giveUpAfter && now.Add(repeatGap).Before(p.deadline) {
+		m.call(p, Call{Op: a.Op, NotSoon: repeatGap})
 		return
 	}
-	if !now.Add(repeatGap).Before(p.deadline) {
-		m.reply(p, Reply{Outcome: Unsure, Why: "the store did not answer in time"})
+	if p.Kind == Submit && !p.unsure {
+		m.reply(p, Reply{Outcome: NotAccepted, Why: "the store does not take the job", Retry: comeBack})
 		return
 	}
-	m.call(p, Call{Op: a.Op, NotSoon: repeatGap})
+	m.reply(p, Reply{Outcome: Unsure, Why: "the store did not answer in time"})
 }
--- a/node/board/board.go
+++ b/node/board/board.go
@@ -24,6 +24,7 @@
 	Waves         map[int]Wave
 	Leases        map[string]Lease // by pool, and store.ControlFleet
 	LeasesRead    time.Time        // steady time at which the newest reading of the lease rows was sent
+	Failing       time.Time        // since when the lease rows can't be read; zero if they can
 }
 
 // Wave is a wave of upkeep and when it was first seen.
@@ -78,10 +79,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case d := <-b.In.C():
-			if d.Failing {
+			if !b.take(d) {
 				continue
 			}
-			b.take(d)
 			b.publish(ctx)
 		}
 	}
@@ -97,9 +97,18 @@
 	}
 }
 
-func (b *Board) take(d follow.Delta) {
+// take takes a reading in. It reports whether the view has changed.
+func (b *Board) take(d follow.Delta) bool {
 	now := steady.Now()
+	if d.Failing {
+		if d.Table != store.TableControl || !b.view.Failing.IsZero() {
+			return false
+		}
+		b.view.Failing = now
+		return true
+	}
 	if d.Table == store.TableControl {
+		b.view.Failing = time.Time{}
 		if d.Reset {
 			b.dropLeases(d)
 		}
@@ -107,13 +116,14 @@
 			b.takeLease(now, c)
 		}
 		b.view.LeasesRead = d.Sent
-		return
+		return true
 	}
 	for _, c := range d.Changes {
 		if !c.Removed {
 			b.takeOperator(now, c.Row)
 		}
 	}
+	return true
 }
 
 // dropLeases forgets lease rows that a whole reading does not have.
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -28,8 +28,10 @@
 	claimSpread = 150 * time.Millisecond
 	// claimRetry spaces claims after one that failed.
 	claimRetry = 300 * time.Millisecond
-	// writeRetry spaces renewals after one that failed.
-	writeRetry = 100 * time.Millisecond
+	// writeRetry spaces renewals after one that failed; the time doubles up to
+	// writeRetryMost.
+	writeRetry     = 100 * time.Millisecond
+	writeRetryMost = 400 * time.Millisecond
 	// storeTimeout bounds a write. A later answer would leave too little of the
 	// lease.
 	storeTimeout = 900 * time.Millisecond
@@ -54,16 +56,17 @@
 	TakenAt time.Time
 	State   State
 
-	self    string
-	log     hclog.Logger
-	jitter  time.Duration
-	absent  time.Time // since when the row is known not to exist
-	retryAt time.Time // of a claim that failed
-	lease   lease.Held
-	version uint64
-	writing bool
-	last    time.Time // sending of the last write
-	nextTry time.Time // after a write that failed
+	self     string
+	log      hclog.Logger
+	jitter   time.Duration
+	absent   time.Time // since when the row is known not to exist
+	retryAt  time.Time // of a claim that failed
+	lease    lease.Held
+	version  uint64
+	writing  bool
+	last     time.Time // sending of the last write
+	nextTry  time.Time // after a write that failed
+	failures int       // writes that failed since the last that did not
 }
 
 // New returns a holder of nothing.
@@ -224,6 +227,10 @@
 		return None
 	}
 	if r.err == nil {
+		if h.failures > 0 {
+			h.log.Info("lease is renewed again", "lease", h.Name, "failed", h.failures)
+		}
+		h.failures = 0
 		h.Control, h.version, h.nextTry = r.write.Control, r.version, time.Time{}
 		h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 		if r.write.Control.Holder == "" {
@@ -244,8 +251,11 @@
 		h.Drop(now)
 		return Lost
 	}
-	h.log.Warn("lease was not renewed", "lease", h.Name, "error", r.err)
-	h.nextTry = now.Add(writeRetry)
+	if h.failures == 0 {
+		h.log.Warn("lease can't be renewed", "lease", h.Name, "error", r.err)
+	}
+	h.nextTry = now.Add(min(writeRetryMost, writeRetry<<min(h.failures, 4)))
+	h.failures++
 	return NotStored
 }
 
