Take pools over after one second and bring machines while load grows

Ruled out: the order of placement (the backlog was of the whole pool). The lease is longer while the store is slow.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -54,7 +54,7 @@
 	// workGap lets submissions that come together share one reading.
 	workGap = 15 * time.Millisecond
 	// registrationGap lets heartbeats of workers share one reading.
-	registrationGap = 250 * time.Millisecond
+	registrationGap = 100 * time.Millisecond
 )
 
 // Stopping.
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -46,7 +46,7 @@
 	reserved       map[*worker]bool     // kept free for lasting tasks in this pass
 	former         map[string]time.Time // engaged workers of the former owner; when their leases lapse
 	short          int                  // thousandths of a core that waiting tasks lack
-	told           int                  // of it, in the stored lease row
+	told           int                  // load in the stored lease row, thousandths of a core
 	changed        bool                 // placement may find something new to do
 	deposed        bool
 	wake           time.Time
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -232,14 +232,14 @@
 
 // Urgent reports whether something waits for Collect that callers wait for:
 // the end of a job, a new worker that cannot be used before, a released
-// machine, or a lack of workers that has grown.
+// machine, or a load that has grown.
 func (m *Machine) Urgent() bool {
 	for _, j := range m.order {
 		if j.dirty && j.state.Ended() {
 			return true
 		}
 	}
-	if m.short > m.told+m.told/4 {
+	if m.load() > m.told+loadStep {
 		return true
 	}
 	for _, w := range m.workers {
@@ -250,6 +250,19 @@
 	return false
 }
 
+// loadStep is by how much the load has to grow to be told at once, in
+// thousandths of a core. It is a part of a typical machine.
+const loadStep = 8000
+
+// load returns what the pool's tasks use and lack, in thousandths of a core.
+func (m *Machine) load() int {
+	load := m.short
+	for _, w := range m.workers {
+		load += w.taken.MilliCores
+	}
+	return load
+}
+
 // Dirty reports whether Collect has jobs to store.
 func (m *Machine) Dirty() bool {
 	for _, j := range m.order {
@@ -346,7 +359,7 @@
 // Status returns the present state.
 func (m *Machine) Status(now time.Time) Status {
 	s := Status{Waiting: m.waitingCount(), Release: m.releaseVersion}
-	s.Short, m.told = m.short, m.short
+	s.Short, m.told = m.short, m.load()
 	for _, id := range m.ids {
 		w := m.workers[id]
 		if !w.listed || w.gone {
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -208,7 +208,7 @@
 		p.base = max(p.base, min(have, m.fairShare()))
 		want := m.want(p, perMachine)
 		switch {
-		case want > have && p.Status.Short > 0:
+		case want > have:
 			p.peak, p.surplus = m.now, time.Time{}
 			m.bring(p, want-have, standby)
 		case have <= max(want, p.base) || standby == "":
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -19,11 +19,15 @@
 
 // Timing of leases.
 const (
-	// LeaseTime is how long a lease is left alone when its holder is silent.
-	// It is several times the slowest regular answer of the store.
-	LeaseTime = 2 * time.Second
+	// leaseTime is how long a lease is left alone when its holder is silent.
+	// It is many times the regular answer of the store, which takes 10 ms.
+	leaseTime = 1000 * time.Millisecond
+	// slowLeaseTime replaces leaseTime while the store is slow.
+	slowLeaseTime = 3 * time.Second
+	// slowAnswer is an answer that leaves too few tries within leaseTime.
+	slowAnswer = 150 * time.Millisecond
 	// renewEvery leaves two more tries before the lease ends.
-	renewEvery = LeaseTime / 3
+	renewEvery = leaseTime / 3
 	// claimSpread keeps processes from claiming one lease at the same moment.
 	claimSpread = 150 * time.Millisecond
 	// claimRetry spaces claims after one that failed.
@@ -66,6 +70,7 @@
 	writing  bool
 	last     time.Time // sending of the last write
 	nextTry  time.Time // after a write that failed
+	slow     bool      // the last write took longer than slowAnswer
 	failures int       // writes that failed since the last that did not
 }
 
@@ -105,6 +110,13 @@
 	Lost            // another process has the lease
 )
 
+func (h *Holder) duration() time.Duration {
+	if h.slow {
+		return slowLeaseTime
+	}
+	return leaseTime
+}
+
 // Valid reports whether the lease is held at now, a steady time.
 func (h *Holder) Valid(now time.Time) bool { return h.State == Held && h.lease.Valid(now) }
 
@@ -148,8 +160,13 @@
 	}
 	// Silence counts only up to the last reading of the rows.
 	silent := v.LeasesRead.Sub(seen.Since)
-	if seen.Holder == "" {
+	switch seen.Holder {
+	case "":
 		return silent >= wait
+	case h.self:
+		// An earlier process of this name, which has ended, or this one, which
+		// has given the lease up.
+		return true
 	}
 	return silent >= seen.Duration+wait
 }
@@ -159,7 +176,7 @@
 func (h *Holder) Claim(now time.Time, v *board.View) Write {
 	seen, exists := v.Leases[h.Name]
 	w := Write{Control: seen.Control, requested: now, claim: true}
-	w.Control.SetLease(lease.Next(seen.Record(), h.self, LeaseTime))
+	w.Control.SetLease(lease.Next(seen.Record(), h.self, h.duration()))
 	w.op = store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
 	if exists {
 		w.op.Kind, w.op.Expect = store.OpUpdate, seen.Version
@@ -185,7 +202,7 @@
 // Renew returns the write that renews the lease with the row's new content,
 // or gives it up.
 func (h *Holder) Renew(now time.Time, c rows.Control, release bool) Write {
-	c.SetLease(h.Control.Record().Renewed(LeaseTime))
+	c.SetLease(h.Control.Record().Renewed(h.duration()))
 	if release {
 		c.Holder = ""
 	}
@@ -217,6 +234,7 @@
 // Take takes the result of a write in.
 func (h *Holder) Take(now time.Time, r Result) Event {
 	h.writing = false
+	h.slow = now.Sub(r.write.requested) > slowAnswer
 	if h.State == Idle {
 		return None
 	}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -35,7 +35,7 @@
 
 // claimBackoff is how much longer a process waits for each pool that it owns
 // already, so that pools spread over the VMs.
-const claimBackoff = 400 * time.Millisecond
+const claimBackoff = 150 * time.Millisecond
 
 // Storing of progress.
 const (
