Count a failure once when its end is heard again

An end that is stored but not yet acknowledged is listed to the next owner too, which counted it again. Ruled out: failures of copies; the job has none. Measured: the test fails without the change and passes with it. Conclusion: each task keeps the greatest number of a run that was counted.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -217,3 +217,23 @@
 		require.Len(t, r.starts, n+1)
 	}
 }
+
+// An end that a new owner hears again, because its predecessor stored it but
+// did not come to acknowledge it, was counted as a second failure.
+func TestFailureHeardTwiceCountsOnce(t *testing.T) {
+	r := newRig(t, 1, nil, newWorker("a"))
+	job := testJob("j1", simpleStep(1))
+	r.step(job)
+	w := r.workers["a"]
+	w.end(r.starts[0].Task, r.starts[0].Attempt, EndFailed)
+	heard := append([]EndReport(nil), w.ended...)
+	r.m.Step(r.now, 0, HoldAnswered{Worker: w.Life, Sent: r.now, Report: HoldReport{Clock: 61000, Born: 1, Ended: heard}})
+	progress := r.m.Collect(10).Jobs["j1"]
+
+	next := newRig(t, 2, []Engaged{{ID: "a", Born: 1}}, newWorker("a"))
+	next.workers["a"].ended, next.workers["a"].ends = heard, 1
+	job.Progress, job.Recovered = &progress, true
+	next.step(job)
+	next.pass(200 * time.Millisecond)
+	require.Equal(t, 1, next.m.task(heard[0].Task).fails)
+}
--- a/engine/job.go
+++ b/engine/job.go
@@ -56,6 +56,7 @@
 	id      workload.TaskID
 	done    bool
 	fails   int
+	counted int // greatest number of a run whose end is counted: ends may be listed again
 	lastRun int
 	saved   string
 	runs    []*run
@@ -153,7 +154,7 @@
 			continue
 		}
 		t := o.steps[m.Step].tasks[m.Index]
-		t.fails, t.lastRun, t.saved = m.Failed, m.Run, m.Saved
+		t.fails, t.counted, t.lastRun, t.saved = m.Failed, m.Counted, m.Run, m.Saved
 		if m.Done {
 			t.finish()
 		}
@@ -218,7 +219,7 @@
 				if t.done || t.fails > 0 || t.saved != "" || t.lastRun > 1 {
 					p.Tasks = append(p.Tasks, workload.TaskMark{
 						Occurrence: o.k, Step: s.index, Index: t.id.Index,
-						Done: t.done, Failed: t.fails, Run: t.lastRun, Saved: t.saved,
+						Done: t.done, Failed: t.fails, Counted: t.counted, Run: t.lastRun, Saved: t.saved,
 					})
 				}
 			}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -317,7 +317,10 @@
 	case EndDone:
 		m.markDone(t, w)
 	case EndFailed:
-		m.markFailed(now, t, w, e.Attempt)
+		if e.Attempt > t.counted {
+			t.counted = e.Attempt
+			m.markFailed(now, t, w, e.Attempt)
+		}
 	default:
 		m.decide("run-ended", string(e.How), t, w, e.Attempt)
 	}
