--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -88,7 +88,7 @@
 			events = append(events, r.answer(a)...)
 		}
 		b := r.m.Collect(100)
-		if len(b.Jobs) > 0 || r.m.Urgent() || round == 0 {
+		if len(b.Jobs) > 0 || b.NewWorkers || round == 0 {
 			events = append(events, Stored{Batch: b, OK: true})
 		}
 		if len(events) == 0 {
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -225,20 +225,27 @@
 type Batch struct {
 	Jobs    map[string]workload.Progress
 	Engaged []Engaged // all workers that may get or have runs
-	ends    map[string]int
-	engaged map[string]int64
-	jobs    []*job
+	// NewWorkers: Engaged has workers that the stored lease row does not have.
+	NewWorkers bool
+	ends       map[string]int
+	engaged    map[string]int64
+	jobs       []*job
 }
 
-// Urgent reports whether something waits for Collect that callers wait for:
-// the end of a job, a new worker that cannot be used before, a released
-// machine, or a load that has grown.
+// Urgent reports whether Collect has the end of a job, which callers wait for.
 func (m *Machine) Urgent() bool {
 	for _, j := range m.order {
 		if j.dirty && j.state.Ended() {
 			return true
 		}
 	}
+	return false
+}
+
+// HasNews reports whether the lease row should be written at once: for a new
+// worker that can't be used before, a released machine, or a load that has
+// grown.
+func (m *Machine) HasNews() bool {
 	if m.load() > m.told+loadStep {
 		return true
 	}
@@ -295,11 +302,11 @@
 		if w.synced && (!w.gone || len(w.runs) > 0) {
 			b.Engaged = append(b.Engaged, Engaged{ID: w.ID, Born: w.Born})
 			b.engaged[w.ID] = w.Born
+			b.NewWorkers = b.NewWorkers || !w.engaged
 		}
 		if whole {
 			b.ends[w.ID] = w.seen
 		}
-		w.reported = m.released(w)
 	}
 	for id := range m.former {
 		if _, ok := b.engaged[id]; !ok {
@@ -371,6 +378,7 @@
 			Usable:   m.usable(now, w),
 			Released: m.released(w),
 		})
+		w.reported = m.released(w)
 	}
 	return s
 }
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -49,6 +49,7 @@
 type Options struct {
 	Self       string
 	Bounds     settings.Bounds
+	ClaimDelay time.Duration // for the weakness of the VM
 	Table      store.Table
 	Service    Service
 	Refusal    func(err error) (fleet.Result, bool) // translates the service's own refusals
@@ -163,7 +164,7 @@
 // work does what is due and returns the time until the next pass.
 func (d *Duty) work(ctx context.Context) time.Duration {
 	now := steady.Now()
-	if !d.leaving && d.holder.ClaimDue(now, d.view, claimWait) {
+	if !d.leaving && d.holder.ClaimDue(now, d.view, claimWait+d.ClaimDelay) {
 		d.commit(ctx, d.holder.Claim(now, d.view))
 	}
 	if d.machine != nil && d.holder.Valid(now) {
@@ -176,7 +177,7 @@
 	if d.holder.State != holder.Held || d.holder.Writing() {
 		return idleWake
 	}
-	at := d.holder.WriteAt(d.urgency())
+	at := d.holder.RenewAt(d.urgency())
 	if now.Before(at) {
 		return max(time.Millisecond, min(idleWake, at.Sub(now)))
 	}
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -66,9 +66,11 @@
 	absent   time.Time // since when the row is known not to exist
 	retryAt  time.Time // of a claim that failed
 	lease    lease.Held
-	version  uint64
+	version  uint64 // of the lease row
+	order    uint64 // version of the row that orders the transactions of the holder
 	writing  bool
 	last     time.Time // sending of the last write
+	renewed  time.Time // sending of the last renewal
 	nextTry  time.Time // after a write that failed
 	slow     bool      // the last write took longer than slowAnswer
 	failures int       // writes that failed since the last that did not
@@ -79,20 +81,22 @@
 	return &Holder{Name: name, self: self, log: log, jitter: rand.N(claimSpread)}
 }
 
-// Write is a transaction on the lease row. More has further operations in the
-// same transaction.
+// Write is a transaction of the holder. It changes the lease row, or leaves it
+// as it is and only stores more.
 type Write struct {
 	Control   rows.Control
 	More      []store.Op
-	op        store.Op
+	ops       []store.Op
 	requested time.Time
 	claim     bool
+	renews    bool
 }
 
 // Result is the outcome of a Write.
 type Result struct {
 	write   Write
-	version uint64
+	version uint64 // of the lease row, if the write renews
+	order   uint64
 	err     error
 }
 
@@ -175,28 +179,46 @@
 // since it was seen.
 func (h *Holder) Claim(now time.Time, v *board.View) Write {
 	seen, exists := v.Leases[h.Name]
-	w := Write{Control: seen.Control, requested: now, claim: true}
+	w := Write{Control: seen.Control, requested: now, claim: true, renews: true}
 	w.Control.SetLease(lease.Next(seen.Record(), h.self, h.duration()))
-	w.op = store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
+	op := store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
 	if exists {
-		w.op.Kind, w.op.Expect = store.OpUpdate, seen.Version
+		op.Kind, op.Expect = store.OpUpdate, seen.Version
 	}
+	w.ops = []store.Op{op, h.orderOp(store.OpPut)}
 	h.State, h.writing, h.Former = Claiming, true, seen.Control
 	h.log.Info("claiming lease", "lease", h.Name, "token", w.Control.Token, "from", seen.Holder, "version", seen.Version)
 	return w
 }
 
-// WriteAt returns when the next write is due. urgent is how soon after the
-// last one there is something to store; 0 if there is nothing.
-func (h *Holder) WriteAt(urgent time.Duration) time.Time {
-	at := h.last.Add(renewEvery)
-	if urgent > 0 {
-		at = h.last.Add(min(urgent, renewEvery))
+// RenewAt returns when the lease row is to be written. within is how soon
+// after the last write there is something new for it; 0 if there is nothing.
+func (h *Holder) RenewAt(within time.Duration) time.Time {
+	at := h.renewed.Add(renewEvery)
+	if within > 0 {
+		at = minTime(at, h.last.Add(within))
 	}
-	if at.Before(h.nextTry) {
-		return h.nextTry
+	return maxTime(at, h.nextTry)
+}
+
+// AppendAt returns when the next write that does not renew may be sent, within
+// after the last write.
+func (h *Holder) AppendAt(within time.Duration) time.Time {
+	return maxTime(h.last.Add(within), h.nextTry)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	return at
+	return a
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // Renew returns the write that renews the lease with the row's new content,
@@ -206,28 +228,47 @@
 	if release {
 		c.Holder = ""
 	}
+	h.writing, h.last, h.renewed = true, now, now
+	return Write{
+		Control: c, requested: now, renews: true,
+		ops: []store.Op{
+			{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version},
+			h.orderOp(store.OpPut),
+		},
+	}
+}
+
+// Append returns a write that stores more and leaves the lease row as it is.
+func (h *Holder) Append(now time.Time, more []store.Op) Write {
 	h.writing, h.last = true, now
+	order := h.orderOp(store.OpUpdate)
+	order.Expect = h.order
 	return Write{
-		Control: c, requested: now,
-		op: store.Op{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version},
+		Control: h.Control, More: more, requested: now,
+		ops: []store.Op{{Kind: store.OpCheck, Key: store.KeyControl(h.Name), Expect: h.version}, order},
 	}
 }
 
+func (h *Holder) orderOp(kind store.OpKind) store.Op {
+	return store.Op{Kind: kind, Key: store.KeyOrder(h.Name), Value: []byte("{}")}
+}
+
 // Commit carries a write out. It may run on any goroutine.
 func Commit(ctx context.Context, t store.Table, w Write) Result {
 	r := Result{write: w}
-	op := w.op
-	if op.Value, r.err = rows.EncodeControl(w.Control); r.err != nil {
-		return r
+	if w.renews {
+		if w.ops[0].Value, r.err = rows.EncodeControl(w.Control); r.err != nil {
+			return r
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	versions, err := t.Commit(ctx, append([]store.Op{op}, w.More...))
+	versions, err := t.Commit(ctx, append(w.ops, w.More...))
 	if err != nil {
 		r.err = err
 		return r
 	}
-	r.version = versions[0]
+	r.version, r.order = versions[0], versions[1]
 	return r
 }
 
@@ -248,8 +289,11 @@
 		if h.failures > 0 {
 			h.log.Info("lease is renewed again", "lease", h.Name, "failed", h.failures)
 		}
-		h.failures = 0
-		h.Control, h.version, h.nextTry = r.write.Control, r.version, time.Time{}
+		h.failures, h.nextTry, h.order = 0, time.Time{}, r.order
+		if !r.write.renews {
+			return Stored
+		}
+		h.Control, h.version = r.write.Control, r.version
 		h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 		if r.write.Control.Holder == "" {
 			h.log.Info("lease is released", "lease", h.Name)
@@ -258,9 +302,9 @@
 		}
 		return Stored
 	}
-	if c, version, mine := h.own(r.err, h.Control.Token); mine {
+	if found := h.own(r.err, h.Control.Token); found.mine {
 		// An earlier write without an answer took effect.
-		h.Control, h.version, h.nextTry = c, version, time.Time{}
+		h.Control, h.version, h.order, h.nextTry = found.control, found.version, found.order, time.Time{}
 		return NotStored
 	}
 	var conflict *store.ConflictError
@@ -279,37 +323,48 @@
 
 func (h *Holder) takeClaim(now time.Time, r Result) Event {
 	if r.err != nil {
-		c, version, mine := h.own(r.err, r.write.Control.Token)
-		if !mine {
+		found := h.own(r.err, r.write.Control.Token)
+		if !found.mine {
 			h.log.Info("lease was not claimed", "lease", h.Name, "error", r.err)
 			h.Drop(now)
 			return NotWon
 		}
-		r.write.Control, r.version = c, version
+		r.write.Control, r.version, r.order = found.control, found.version, found.order
 	}
 	h.log.Info("lease is held", "lease", h.Name, "token", r.write.Control.Token, "version", r.version)
 	h.State, h.Control, h.version, h.Taken, h.TakenAt = Held, r.write.Control, r.version, r.version, now
-	h.last, h.nextTry = now, time.Time{}
+	h.last, h.renewed, h.nextTry, h.order = now, now, time.Time{}, r.order
 	h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 	return Acquired
 }
 
-// own returns the row of a conflict; mine is true if this process wrote it.
-func (h *Holder) own(err error, token uint64) (c rows.Control, version uint64, mine bool) {
+// found is what a conflict says of the holder's rows.
+type found struct {
+	control rows.Control
+	version uint64
+	order   uint64
+	mine    bool // this process wrote the lease row in its present term
+}
+
+// own reads the rows of a conflict.
+func (h *Holder) own(err error, token uint64) found {
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
-		return rows.Control{}, 0, false
+		return found{}
 	}
+	f := found{order: h.order}
 	for _, r := range conflict.Rows {
-		if r.Key != store.KeyControl(h.Name) {
-			continue
-		}
-		c, err := rows.DecodeControl(r.Value)
-		if err != nil {
-			h.log.Warn("lease row can't be read", "lease", h.Name, "error", err)
-			return rows.Control{}, 0, false
+		switch r.Key {
+		case store.KeyOrder(h.Name):
+			f.order = r.Version
+		case store.KeyControl(h.Name):
+			c, err := rows.DecodeControl(r.Value)
+			if err != nil {
+				h.log.Warn("lease row can't be read", "lease", h.Name, "error", err)
+				return found{}
+			}
+			f.control, f.version, f.mine = c, r.Version, c.Holder == h.self && c.Token == token
 		}
-		return c, r.Version, c.Holder == h.self && c.Token == token
 	}
-	return rows.Control{}, 0, false
+	return f
 }
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -136,32 +136,46 @@
 	if p.Writing() {
 		return now.Add(idleWake)
 	}
-	if at := p.WriteAt(d.urgency(p)); now.Before(at) {
+	renewAt, appendAt := d.writeTimes(now, p)
+	if at := minTime(renewAt, appendAt); now.Before(at) {
 		return at
 	}
-	c := p.Control
 	var more []store.Op
 	if p.machine != nil {
 		p.batch = p.machine.Collect(flushJobs)
-		c.Engaged, c.Status = p.batch.Engaged, p.machine.Status(now)
 		more = d.encode(p)
 	}
+	if now.Before(renewAt) && !p.batch.NewWorkers {
+		d.commit(ctx, p, p.Append(now, more))
+		return now.Add(idleWake)
+	}
+	c := p.Control
+	if p.machine != nil {
+		c.Engaged, c.Status = p.batch.Engaged, p.machine.Status(now)
+	}
 	w := p.Renew(now, c, d.leaving)
 	w.More = more
 	d.commit(ctx, p, w)
 	return now.Add(idleWake)
 }
 
-// urgency returns how soon after the last transaction the next may come, 0 if
-// there is nothing to store but the renewal.
-func (d *Duty) urgency(p *pool) time.Duration {
+// writeTimes returns when the lease row and when progress is to be written.
+func (d *Duty) writeTimes(now time.Time, p *pool) (renewAt, appendAt time.Time) {
+	appendAt = now.Add(idleWake)
+	if p.machine == nil {
+		return p.RenewAt(0), appendAt
+	}
+	news := time.Duration(0)
+	if d.leaving || p.machine.HasNews() {
+		news = flushGap
+	}
 	switch {
-	case d.leaving || p.machine != nil && p.machine.Urgent():
-		return flushGap
-	case p.machine != nil && p.machine.Dirty():
-		return lazyFlushGap
+	case p.machine.Urgent():
+		appendAt = p.AppendAt(flushGap)
+	case p.machine.Dirty():
+		appendAt = p.AppendAt(lazyFlushGap)
 	}
-	return 0
+	return p.RenewAt(news), appendAt
 }
 
 func (d *Duty) encode(p *pool) []store.Op {
--- a/settings/node.go
+++ b/settings/node.go
@@ -14,6 +14,7 @@
 	Fleet      string // IP:port of the fleet service; "" without one
 	Policy     string // IP:port of the placement policy service; "" without one
 	Bounds     Bounds
+	Processor  float64       // share of a core that the VM has
 	StopWithin time.Duration // time between a termination signal and a kill
 }
 
--- a/store/keys.go
+++ b/store/keys.go
@@ -59,6 +59,7 @@
 	TableWork     = "work"     // submissions and cancellations
 	TableProgress = "progress" // parts are pools
 	TableControl  = "control"  // parts are pools, and ControlFleet
+	TableOrder    = "order"    // parts likewise; orders the holder's transactions
 	ControlFleet  = "fleet"    // part of the fleet's lease; no pool has this name
 )
 
@@ -99,3 +100,7 @@
 func ControlName(key string) string {
 	return strings.TrimSuffix(strings.TrimPrefix(key, TableControl+"/"), "/lease")
 }
+
+// KeyOrder returns the key of the row that each transaction of the holder of a
+// lease changes, so that one that takes effect late can't overwrite a later.
+func KeyOrder(name string) string { return TableOrder + "/" + name + "/last" }
