Test intake, fleet and the adapters' borders; log placements without waiting

Cause: the decisions of intake and fleet had no tests of their own, and lines of the log were written by the duties that decide. Found: a machine that had its upkeep in the standby pool kept its plan for good, since no worker shows its return; it counted as down and was never lent again.

--- a/cli/node.go
+++ b/cli/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -12,11 +13,15 @@
 	platformsettings "github.com/carobwharf/carobwharf/platform/settings"
 )
 
+// gcPercent is how much the heap may grow between collections. Memory is dearer
+// than processor time on the VMs of the users' platform.
+const gcPercent = 40
+
 func newNodeCmd() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:     "node",
 		Short:   "Run the process that accepts and runs jobs on the users' platform",
-		Example: "  CAROBWHARF_SETTINGS=/etc/carobwharf/settings.toml carobwharf node",
+		Example: "  carobwharf node --settings /etc/carobwharf/settings.toml",
 		Args:    usageArgs(cobra.NoArgs),
 	}
 	level := cmd.Flags().String("log-level", "info", "log level")
@@ -27,15 +32,17 @@
 		if err != nil {
 			return usageError(err)
 		}
-		log, err := logging.New(logging.Options{Level: *level, Format: logging.Format(*format), Output: cmd.OutOrStdout()})
+		lines := logging.NewWriter(cmd.OutOrStdout())
+		log, err := logging.New(logging.Options{Level: *level, Format: logging.Format(*format), Output: lines})
 		if err != nil {
 			return usageError(err)
 		}
+		debug.SetGCPercent(gcPercent)
 		// The settings are read at each start; a hang-up signal changes nothing.
 		signal.Ignore(syscall.SIGHUP)
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
 		defer stop()
-		n, err := node.New(node.Options{Settings: set, Log: log, Metrics: metrics.New()})
+		n, err := node.New(node.Options{Settings: set, Log: log, Lines: lines, Metrics: metrics.New()})
 		if err != nil {
 			return err
 		}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -83,6 +83,7 @@
 type Options struct {
 	Settings settings.Node
 	Log      hclog.Logger
+	Lines    *logging.Writer // that Log writes to; nil if it writes elsewhere
 	Metrics  *metrics.Registry
 }
 
@@ -139,6 +140,9 @@
 		n.sup.Add(duty.Duty{Name: "follow-" + table, Run: f.Run})
 	}
 	whole := []string{""}
+	if o.Lines != nil {
+		n.sup.Add(duty.Duty{Name: "log", Run: o.Lines.Run})
+	}
 	n.sup.Add(duty.Duty{Name: "readiness-state", Run: func(ctx context.Context) error { return n.watchReadiness(ctx, readiness) }})
 	n.sup.Add(duty.Duty{Name: "ready", Run: ready.Run})
 	n.sup.Add(duty.Duty{Name: "intake", Run: in.Run})
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -48,6 +48,7 @@
 	short          int                  // thousandths of a core that waiting tasks lack
 	told           int                  // load in the stored lease row, thousandths of a core
 	changed        bool                 // placement may find something new to do
+	waitingSteps   int                  // in the last placement
 	placeAt        time.Time            // no placement before
 	watchAt        time.Time            // no look at all runs before
 	deposed        bool
--- a/engine/place.go
+++ b/engine/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,6 +21,11 @@
 	fills                   // lasting tasks that use what others leave
 )
 
+var urgencyNames = [...]string{"serves", "in-time", "late", "hopeless", "fills"}
+
+// String returns the urgency's name.
+func (u urgency) String() string { return urgencyNames[u] }
+
 // lateFactor is how many times the objective an end still counts as late.
 const lateFactor = 3
 
@@ -51,6 +57,7 @@
 	clear(m.reserved)
 	list := m.candidates(now)
 	m.placeAt = now.Add(time.Duration(len(list)) * placePerCandidate)
+	m.waitingSteps = len(list)
 	for _, c := range list {
 		s := c.step
 		if s.spec.Gang {
@@ -62,7 +69,11 @@
 			m.addShort(now, c)
 			continue
 		}
-		if m.placeStep(now, s) {
+		placed, all := m.placeStep(now, s)
+		if placed > 0 {
+			m.explain(now, c, placed)
+		}
+		if all {
 			continue
 		}
 		m.addShort(now, c)
@@ -189,20 +200,29 @@
 	return c
 }
 
-// placeStep starts the waiting tasks of a step. It reports false if one of
-// them found no worker.
-func (m *Machine) placeStep(now time.Time, s *step) bool {
+// placeStep starts the waiting tasks of a step. It returns how many, and
+// whether each found a worker.
+func (m *Machine) placeStep(now time.Time, s *step) (placed int, all bool) {
 	for _, t := range s.tasks {
 		if !t.waiting(now) {
 			continue
 		}
 		w := m.pick(now, s, t)
 		if w == nil {
-			return false
+			return placed, false
 		}
 		m.start(now, t, w, 0)
+		placed++
 	}
-	return true
+	return placed, true
+}
+
+// explain logs what decided that tasks of a step were started.
+func (m *Machine) explain(now time.Time, c candidate, placed int) {
+	m.emit(Decision{
+		What: "step-placed", Job: c.step.occ.job.sub.ID, Task: workload.StepName(c.step.occ.job.sub.ID, c.step.occ.k, c.step.index),
+		Why: fmt.Sprintf("%d tasks, urgency %s, slack %d ms, %d candidates", placed, c.urgency, c.latest.Sub(now).Milliseconds(), m.waitingSteps),
+	})
 }
 
 // usable reports whether starts may go to the worker now.
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -515,7 +515,7 @@
 }
 
 func (m *Machine) sendStop(r *run) {
-	m.decide("run-stop", r.stopReason, r.task, r.worker, r.attempt)
+	m.decide("stop-run", r.stopReason, r.task, r.worker, r.attempt)
 	m.emit(Stop{Target: r.worker.target(), Token: m.cfg.Token, Task: r.task.id, Attempt: r.attempt})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -166,6 +166,7 @@
 	listed   bool
 	listAt   time.Time
 	listSent time.Time
+	seenAt   time.Time // sending of the list that was taken in last
 	out      []Action
 }
 
@@ -306,7 +307,7 @@
 	if !e.OK {
 		return
 	}
-	m.listed = true
+	m.listed, m.seenAt = true, m.listSent
 	old := m.machines
 	m.machines, m.ids = map[string]*machine{}, m.ids[:0]
 	open := false
@@ -398,7 +399,9 @@
 			away = m.cfg.UpkeepTime
 		}
 		x.plan.back = x.plan.back || !m.now.Before(x.plan.doneAt.Add(away-returnSlack))
-		if x.State == workload.MachineUp && x.Worker != x.plan.worker {
+		// A machine in the standby pool has no worker that would change.
+		listedLater := m.seenAt.After(x.plan.doneAt.Add(away))
+		if x.State == workload.MachineUp && (x.Worker != x.plan.worker || listedLater) {
 			x.plan = nil
 		}
 	}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -22,6 +22,7 @@
 	"structs", "configcheck", "publication", "admission", "dispatch", "retry",
 	"intent", "pacing", "budget", "rollout", "buffer", "placement", "membership", "lease",
 	"daemon/gateway/dispatcher", "daemon/controller/jobs/machine",
+	"workload", "engine", "intake", "fleet",
 }
 
 // Imports that a pure package may have besides other pure packages.
@@ -135,10 +136,53 @@
 	}
 }
 
+// Names of the users' platform that no other part uses. Inside, the project's
+// own names are used.
+var platformNames = []string{
+	"run-start", "run-stop", "machine-move", "machine-upkeep", "rows-tx", "rows-get", "rows-feed", "rows-parts",
+	"fence-token", "last-seen", "set-keys", "est-runtime-ms", "anti-affinity", "may-miss", "clock-ms",
+	"Target-Instance", "Lease-Holder", "Fencing-Token", "CAROBWHARF_SETTINGS", "hold-max-ms", "path-prefix",
+}
+
+// The platform's names in other packages would make its next version a change
+// of the whole product.
+func TestPlatformNamesStandOnlyInTheAdapter(t *testing.T) {
+	for _, f := range sources(t) {
+		if strings.HasPrefix(f.dir, "platform/") || strings.HasPrefix(f.dir, "standin/") {
+			continue
+		}
+		ast.Inspect(f.syntax, func(n ast.Node) bool {
+			lit, ok := n.(*ast.BasicLit)
+			if !ok || lit.Kind != token.STRING {
+				return true
+			}
+			for _, name := range platformNames {
+				require.NotContains(t, lit.Value, name, f.path)
+			}
+			return true
+		})
+	}
+}
+
+// An adapter that decides would hide decisions from the transcripts.
+func TestAdaptersImportNoDutyAndNoOtherAdapter(t *testing.T) {
+	for _, f := range sources(t) {
+		if !strings.HasPrefix(f.dir, "platform/") {
+			continue
+		}
+		for _, imp := range imports(f) {
+			inner := strings.TrimPrefix(imp, module)
+			for _, banned := range []string{"node/", "daemon/", "platform/", "cli", "fleet", "dispatch", "lease"} {
+				require.False(t, inner == banned || strings.HasSuffix(banned, "/") && strings.HasPrefix(inner, banned), "%s imports %s", f.path, imp)
+			}
+		}
+	}
+}
+
 // Another wire format must be one new package and nothing else.
 func TestOnlyPeersAndStandinsUseTheNetwork(t *testing.T) {
 	for _, f := range sources(t) {
-		if strings.HasPrefix(f.dir, "peer/") || strings.HasPrefix(f.dir, "standin/") {
+		if strings.HasPrefix(f.dir, "peer/") || strings.HasPrefix(f.dir, "standin/") || strings.HasPrefix(f.dir, "platform/") {
 			continue
 		}
 		for _, imp := range imports(f) {
