Show metrics, health and the state of each duty at an admin address

Cause: on-call engineers have only logs and metrics; node served neither. Ruled out: a second HTTP server for metrics; the operators' admin server serves.

--- a/cli/node.go
+++ b/cli/node.go
@@ -42,7 +42,7 @@
 		signal.Ignore(syscall.SIGHUP)
 		ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGINT, syscall.SIGTERM)
 		defer stop()
-		n, err := node.New(node.Options{Settings: set, Log: log, Lines: lines, Metrics: metrics.New()})
+		n, err := node.New(node.Options{Settings: set, Log: log, Lines: lines, Metrics: metrics.New(), Version: ReadBuildInfo()})
 		if err != nil {
 			return err
 		}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -85,6 +85,7 @@
 	Log      hclog.Logger
 	Lines    *logging.Writer // that Log writes to; nil if it writes elsewhere
 	Metrics  *metrics.Registry
+	Version  any // shown at the admin address
 }
 
 // New wires the process and opens its addresses.
@@ -145,11 +146,14 @@
 	}
 	n.sup.Add(duty.Duty{Name: "readiness-state", Run: func(ctx context.Context) error { return n.watchReadiness(ctx, readiness) }})
 	n.sup.Add(duty.Duty{Name: "ready", Run: ready.Run})
-	n.sup.Add(duty.Duty{Name: "intake", Run: in.Run})
+	if err := n.addAdmin(o); err != nil {
+		return nil, err
+	}
+	n.sup.Add(duty.Duty{Name: "intake", Run: in.Run, Dump: in.Dump})
 	n.sup.Add(duty.Duty{Name: "callers", Run: n.callers.Run})
-	n.sup.Add(duty.Duty{Name: "pools", Run: n.pools.Run})
+	n.sup.Add(duty.Duty{Name: "pools", Run: n.pools.Run, Dump: n.pools.Dump})
 	if n.fleet != nil {
-		n.sup.Add(duty.Duty{Name: "fleet", Run: n.fleet.Run})
+		n.sup.Add(duty.Duty{Name: "fleet", Run: n.fleet.Run, Dump: n.fleet.Dump})
 	}
 	n.sup.Add(duty.Duty{Name: "board", Run: views.Run})
 	follower(operator.Table, operatorGap, whole, nil, views.In)
--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +25,9 @@
 	return l.Addr().String()
 }
 
+// adminAddrs has the admin address of each node by its address for callers.
+var adminAddrs = map[string]string{}
+
 // startNode runs a node and returns its address for callers and a function
 // that ends it as SIGTERM does.
 func startNode(t *testing.T, p *users.Platform, id string) (addr string, stop func()) {
@@ -36,6 +40,12 @@
 		},
 		Processor: 1, StopWithin: time.Second,
 	}
+	admin := freeAddr(t)
+	_, port, err := net.SplitHostPort(admin)
+	require.NoError(t, err)
+	set.Ports[0], err = strconv.Atoi(port)
+	require.NoError(t, err)
+	adminAddrs[set.Callers] = admin
 	n, err := New(Options{Settings: set, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -54,6 +64,27 @@
 	return set.Callers, stop
 }
 
+// An engineer who explains a failure finds the state of each duty and the
+// counters at the admin address.
+func TestAdminAddress(t *testing.T) {
+	p, err := users.Start(users.Options{Workers: 1, TaskTime: 50 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(p.Stop)
+	addr, _ := startNode(t, p, "node-1")
+	path := users.Prefix + "00000000000000b1"
+	status, _ := call(t, fasthttp.MethodPost, addr, path, jobBody)
+	require.Equal(t, fasthttp.StatusOK, status)
+	require.Eventually(t, completed(t, addr, path), 20*time.Second, 50*time.Millisecond)
+	admin := adminAddrs[addr]
+	for path, want := range map[string]string{
+		"/readyz": "ok", "/metrics": "intake.submit", "/dump": `"pools"`, "/healthz": "ok",
+	} {
+		status, body := call(t, fasthttp.MethodGet, admin, path, "")
+		require.Equal(t, fasthttp.StatusOK, status, path)
+		require.Contains(t, body, want, path)
+	}
+}
+
 func call(t *testing.T, method, addr, path, body string) (int, string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	req.Header.SetMethod(method)
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/fleet"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
@@ -63,6 +64,7 @@
 	Options
 	Views   *ring.Ring[*board.View]
 	Release *ring.Ring[struct{}] // gives the fleet up
+	asker   *duty.Asker
 	results *ring.Ring[any]
 	pond    pond.Pool
 	holder  *holder.Holder
@@ -79,6 +81,7 @@
 		Options: o,
 		Views:   ring.New[*board.View]("fleet-views", 1, ring.KeepNewest),
 		Release: ring.New[struct{}]("fleet-release", 1, ring.Refuse),
+		asker:   duty.NewAsker("fleet"),
 		results: ring.New[any]("fleet-results", resultDepth, ring.Wait),
 		pond:    pond.NewPool(calls),
 		holder:  holder.New(store.ControlFleet, o.Self, o.Log),
@@ -100,12 +103,25 @@
 			d.leaving = true
 		case r := <-d.results.C():
 			d.take(r)
+		case reply := <-d.asker.Questions():
+			reply <- Report{Held: d.holder.Valid(steady.Now()), Token: d.holder.Control.Token, Release: d.asked, Kept: d.holder.Control.Kept}
 		case <-timer.C:
 		}
 		timer.Reset(d.work(ctx))
 	}
 }
 
+// Report is the duty's entry in the state dump.
+type Report struct {
+	Held    bool
+	Token   uint64
+	Release []string         // machines that are to be released
+	Kept    map[int][]string // by wave: machines whose upkeep has begun
+}
+
+// Dump returns the state of the fleet's lease and orders.
+func (d *Duty) Dump(ctx context.Context) any { return d.asker.Ask(ctx) }
+
 func (d *Duty) see(v *board.View) {
 	d.view = v
 	if d.holder.Observe(steady.Now(), v) {
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/intake"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
@@ -47,6 +48,7 @@
 type Duty struct {
 	Options
 	Views     *ring.Ring[*board.View]
+	asker     *duty.Asker
 	questions *ring.Ring[question]
 	answers   *ring.Ring[intake.Answer]
 	calls     pond.Pool
@@ -67,6 +69,7 @@
 	return &Duty{
 		Options:   o,
 		Views:     ring.New[*board.View]("intake-views", 1, ring.KeepNewest),
+		asker:     duty.NewAsker("intake"),
 		questions: ring.New[question]("intake-questions", requestDepth, ring.Refuse),
 		answers:   ring.New[intake.Answer]("intake-answers", answerDepth, ring.Wait),
 		calls:     pond.NewPool(storeCalls, pond.WithQueueSize(requestDepth)),
@@ -111,6 +114,8 @@
 			now := steady.Now()
 			d.asked[d.number] = asked{reply: q.reply, since: now, kind: q.request.Kind}
 			d.machine.Arrive(now, q.request)
+		case reply := <-d.asker.Questions():
+			reply <- Report{Configuration: d.machine.Version(), Pending: d.machine.Pending()}
 		case a := <-d.answers.C():
 			d.machine.Answered(steady.Now(), a)
 		}
@@ -118,6 +123,15 @@
 	}
 }
 
+// Report is the duty's entry in the state dump.
+type Report struct {
+	Configuration uint64 // version
+	Pending       int    // requests without a reply
+}
+
+// Dump returns the state of the duty.
+func (d *Duty) Dump(ctx context.Context) any { return d.asker.Ask(ctx) }
+
 func (d *Duty) see(v *board.View) {
 	if v.Configuration != nil {
 		d.machine.Configure(v.Configuration)
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
@@ -100,6 +101,7 @@
 	Views   *ring.Ring[*board.View]
 	Deltas  *ring.Ring[follow.Delta]
 	Release *ring.Ring[struct{}] // gives all pools up
+	asker   *duty.Asker
 	results *ring.Ring[any]
 	calls   pond.Pool
 	stores  pond.Pool
@@ -122,6 +124,7 @@
 		Views:   ring.New[*board.View]("pool-views", 1, ring.KeepNewest),
 		Deltas:  ring.New[follow.Delta]("pool-deltas", deltaDepth, ring.Wait),
 		Release: ring.New[struct{}]("pool-release", 1, ring.Refuse),
+		asker:   duty.NewAsker("pools"),
 		results: ring.New[any]("pool-results", resultDepth, ring.Wait),
 		calls:   pond.NewPool(workerCalls),
 		stores:  pond.NewPool(storeCalls),
@@ -147,6 +150,8 @@
 			d.leaving = true
 		case r := <-d.results.C():
 			d.takeResult(r)
+		case reply := <-d.asker.Questions():
+			reply <- d.report()
 		case <-timer.C:
 		}
 		d.drain()
@@ -154,6 +159,31 @@
 	}
 }
 
+// Report is the state of a pool in the state dump.
+type Report struct {
+	Pool    string
+	Held    bool
+	Active  bool
+	Token   uint64
+	Version uint64 // of the lease row
+	Status  engine.Status
+}
+
+// Dump returns the state of all pools as this process sees them.
+func (d *Duty) Dump(ctx context.Context) any { return d.asker.Ask(ctx) }
+
+func (d *Duty) report() []Report {
+	list := make([]Report, 0, len(d.names))
+	for _, name := range d.names {
+		p := d.pools[name]
+		list = append(list, Report{
+			Pool: name, Held: p.Valid(d.now()), Active: p.machine != nil, Token: p.Control.Token,
+			Version: p.Version(), Status: p.Control.Status,
+		})
+	}
+	return list
+}
+
 // drain takes in what has arrived meanwhile, so that it shares one step.
 func (d *Duty) drain() {
 	for {
