Go on through outages of the store, and foresee peaks

Cause: while the store was away from all VMs, each lease lapsed after 0.9 s and no step was started until its return; machines for a peak were ordered when the peak showed itself, 2 s before they could arrive. Ruled out: longer leases (they delay each takeover). Conclusion: an owner goes on for at most 5 s, and a successor waits as much longer for workers that it can't reach.

--- a/engine/machine.go
+++ b/engine/machine.go
@@ -18,16 +18,16 @@
 // Config is what a machine is made with. Durations come from the platform's
 // bounds unless said otherwise.
 type Config struct {
-	Pool       string
-	Token      uint64        // of the lease; grows with each owner
-	Lease      time.Duration // of runs at a worker, from each hold
-	MaxLease   time.Duration // that any owner gives
-	KillGrace  time.Duration // that a stop takes at most
-	GangWait   time.Duration // that a member of a gang waits for the others
-	FarFactor  float64       // run time away from the data, relative
-	Early      time.Duration // tolerance before the due time
-	AtWork     time.Duration // a lasting task that is not at work for longer counts as away
-	TailBreach time.Duration // a tail over its target for longer is a breach
+	Pool        string
+	Token       uint64        // of the lease; grows with each owner
+	Lease       time.Duration // of runs at a worker, from each hold
+	FormerLease time.Duration // after a takeover, until all that the former owner ordered has lapsed
+	KillGrace   time.Duration // that a stop takes at most
+	GangWait    time.Duration // that a member of a gang waits for the others
+	FarFactor   float64       // run time away from the data, relative
+	Early       time.Duration // tolerance before the due time
+	AtWork      time.Duration // a lasting task that is not at work for longer counts as away
+	TailBreach  time.Duration // a tail over its target for longer is a breach
 }
 
 // Machine decides for one pool. It is used from one goroutine.
@@ -79,7 +79,7 @@
 		ended: map[string]workload.JobState{}, workers: map[string]*worker{},
 		release: map[string]bool{}, reserved: map[*worker]bool{}, former: map[string]time.Time{},
 	}
-	lapse := now.Add(stretchLease(cfg.MaxLease))
+	lapse := now.Add(stretchLease(cfg.FormerLease))
 	for _, e := range former {
 		m.former[e.ID] = lapse
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -199,6 +199,7 @@
 	surplus time.Time // since when more machines are there than wanted
 	peak    time.Time // when it last wanted more than it had
 	loads   []sample  // of the last loadWindow
+	cycle   cycle
 }
 
 // sample is the load of a pool at a moment, in thousandths of a core.
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -198,7 +198,7 @@
 	if perMachine == 0 {
 		return
 	}
-	standby := m.standby()
+	standby, period := m.standby(), m.period()
 	for _, name := range m.names {
 		p := m.pools[name]
 		if p.Standby || !p.Owned {
@@ -207,6 +207,9 @@
 		have := m.have(name)
 		p.base = max(p.base, min(have, m.fairShare()))
 		want := m.want(p, perMachine)
+		load := p.loads[len(p.loads)-1].load
+		p.cycle.observe(m.now, float64(load)/float64(max(1, p.base)*perMachine), want)
+		want = max(want, m.foreseen(p, period))
 		switch {
 		case want > have:
 			p.peak, p.surplus = m.now, time.Time{}
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -127,6 +127,12 @@
 // Valid reports whether the lease is held at now, a steady time.
 func (h *Holder) Valid(now time.Time) bool { return h.State == Held && h.lease.Valid(now) }
 
+// ValidWithin reports whether the lease is held at now, or ended less than
+// beyond ago and, as far as is known, nobody has taken it since.
+func (h *Holder) ValidWithin(now time.Time, beyond time.Duration) bool {
+	return h.State == Held && now.Before(h.lease.Until().Add(beyond))
+}
+
 // Version returns the version of the row as last written by this process.
 func (h *Holder) Version() uint64 { return h.version }
 
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -19,6 +19,12 @@
 	holdTimeout = 600 * time.Millisecond
 )
 
+// operateBeyond is how long an owner that can't renew its lease goes on, so
+// that an outage of the store does not stop running jobs. It is longer than
+// most outages. A successor fences the workers that it reaches, and waits for
+// the others by as much longer.
+const operateBeyond = 5 * time.Second
+
 func (d *Duty) now() time.Time { return steady.Now() }
 
 // drive does what is due for a pool and returns when more is.
@@ -30,7 +36,7 @@
 	if p.machine == nil && !p.loading && !now.Before(p.loadAt) {
 		d.load(ctx, p)
 	}
-	if p.machine != nil && p.Valid(now) {
+	if p.machine != nil && p.ValidWithin(now, operateBeyond) {
 		d.step(ctx, now, p)
 		if p.machine == nil {
 			return now
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -130,7 +130,7 @@
 		return
 	}
 	p.machine = engine.New(d.now(), engine.Config{
-		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, MaxLease: d.Bounds.MaxLease,
+		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.Bounds.MaxLease + operateBeyond,
 		KillGrace: d.Bounds.KillGrace, GangWait: d.Bounds.GangWait, FarFactor: d.Bounds.FarFactor,
 		Early: d.Bounds.Early, AtWork: d.Bounds.AtWork, TailBreach: d.Bounds.TailBreach,
 	}, p.Former.Engaged)
