Leave leases to the strongest VMs

Ruled out: a fixed delay for weak VMs (it delays takeovers among equals). Conclusion: a holder's row tells its share of a core; weaker VMs wait longer.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -105,7 +105,7 @@
 	}
 	in := nodeintake.New(nodeintake.Options{Table: n.store, Log: part("intake"), Metrics: o.Metrics})
 	n.pools = pools.New(pools.Options{
-		Self: o.Settings.ID, Bounds: o.Settings.Bounds, ClaimDelay: pools.ClaimDelay(o.Settings.Processor),
+		Self: o.Settings.ID, Bounds: o.Settings.Bounds, Processor: o.Settings.Processor,
 		Table: n.store, Feed: n.store, Policy: advice,
 		Dial:   func(id, addr string) pools.Worker { return worker.New(id, addr, orderTimeout) },
 		Decode: worker.Decode, Wanted: wanted, Log: part("pools"), Metrics: o.Metrics,
@@ -113,7 +113,7 @@
 	viewers := []*ring.Ring[*board.View]{in.Views, n.pools.Views}
 	if o.Settings.Fleet != "" {
 		n.fleet = nodefleet.New(nodefleet.Options{
-			Self: o.Settings.ID, Bounds: o.Settings.Bounds, ClaimDelay: pools.ClaimDelay(o.Settings.Processor), Table: n.store,
+			Self: o.Settings.ID, Bounds: o.Settings.Bounds, Processor: o.Settings.Processor, Table: n.store,
 			Service: platformfleet.New(o.Settings.Fleet, o.Settings.ID, fleetTimeout),
 			Refusal: fleetRefusal, WaveStatus: waveStatus, Log: part("fleet"), Metrics: o.Metrics,
 		})
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -50,7 +50,7 @@
 type Options struct {
 	Self       string
 	Bounds     settings.Bounds
-	ClaimDelay time.Duration // for the weakness of the VM
+	Processor  float64 // part of a core that the VM has
 	Table      store.Table
 	Service    Service
 	Refusal    func(err error) (fleet.Result, bool) // translates the service's own refusals
@@ -84,7 +84,7 @@
 		asker:   duty.NewAsker("fleet"),
 		results: ring.New[any]("fleet-results", resultDepth, ring.Wait),
 		pond:    pond.NewPool(calls),
-		holder:  holder.New(store.ControlFleet, o.Self, o.Log),
+		holder:  holder.New(store.ControlFleet, o.Self, o.Processor, o.Log),
 	}
 }
 
@@ -180,7 +180,7 @@
 // work does what is due and returns the time until the next pass.
 func (d *Duty) work(ctx context.Context) time.Duration {
 	now := steady.Now()
-	if !d.leaving && d.holder.ClaimDue(now, d.view, claimWait+d.ClaimDelay) {
+	if !d.leaving && d.holder.ClaimDue(now, d.view, claimWait) {
 		d.commit(ctx, d.holder.Claim(now, d.view))
 	}
 	if d.machine != nil && d.holder.Valid(now) {
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -64,6 +64,7 @@
 	State   State
 
 	self     string
+	share    float64 // part of a core that this VM has
 	log      hclog.Logger
 	jitter   time.Duration
 	absent   time.Time // since when the row is known not to exist
@@ -79,9 +80,27 @@
 	failures int       // writes that failed since the last that did not
 }
 
-// New returns a holder of nothing.
-func New(name, self string, log hclog.Logger) *Holder {
-	return &Holder{Name: name, self: self, log: log, jitter: rand.N(claimSpread)}
+// New returns a holder of nothing. share is the part of a core that this VM
+// has.
+func New(name, self string, share float64, log hclog.Logger) *Holder {
+	return &Holder{Name: name, self: self, share: share, log: log, jitter: rand.N(claimSpread)}
+}
+
+// weakness is how much longer a VM waits with a claim for each time that the
+// strongest known holder's VM has its processor time, so that leases go to
+// strong VMs.
+const weakness = 250 * time.Millisecond
+
+// handicap returns how much longer this VM waits with a claim.
+func (h *Holder) handicap(v *board.View) time.Duration {
+	strongest := h.share
+	for _, l := range v.Leases {
+		strongest = max(strongest, l.Share)
+	}
+	if h.share <= 0 {
+		return 0
+	}
+	return time.Duration(float64(weakness) * (strongest/h.share - 1))
 }
 
 // Write is a transaction of the holder. It changes the lease row, or leaves it
@@ -163,7 +182,7 @@
 	if h.State != Idle || h.writing || v == nil || v.LeasesRead.IsZero() || now.Before(h.retryAt) {
 		return false
 	}
-	wait += h.jitter
+	wait += h.jitter + h.handicap(v)
 	seen, ok := v.Leases[h.Name]
 	if !ok {
 		if h.absent.IsZero() {
@@ -189,6 +208,7 @@
 func (h *Holder) Claim(now time.Time, v *board.View) Write {
 	seen, exists := v.Leases[h.Name]
 	w := Write{Control: seen.Control, requested: now, claim: true, renews: true}
+	w.Control.Share = h.share
 	w.Control.SetLease(lease.Next(seen.Record(), h.self, h.duration()))
 	op := store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
 	if exists {
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -87,7 +87,7 @@
 // Two processes that claim one lease must not both hold it.
 func TestOneOfTwoClaimsWins(t *testing.T) {
 	tab := newTable()
-	a, b := New("p", "a", hclog.NewNullLogger()), New("p", "b", hclog.NewNullLogger())
+	a, b := New("p", "a", 1, hclog.NewNullLogger()), New("p", "b", 1, hclog.NewNullLogger())
 	v := tab.view(start, 0)
 	wa, wb := a.Claim(start, v), b.Claim(start, v)
 	require.Equal(t, Acquired, a.Take(start, Commit(context.Background(), tab, wa)))
@@ -100,7 +100,7 @@
 // is taken, with a higher token, and the former holder's writes fail.
 func TestSilentLeaseIsTaken(t *testing.T) {
 	tab := newTable()
-	a, b := New("p", "a", hclog.NewNullLogger()), New("p", "b", hclog.NewNullLogger())
+	a, b := New("p", "a", 1, hclog.NewNullLogger()), New("p", "b", 1, hclog.NewNullLogger())
 	require.Equal(t, Acquired, claim(t, a, tab, start, 0))
 	now := start.Add(3 * time.Second)
 	require.False(t, b.ClaimDue(now, tab.view(now, leaseTime/2), 0))
@@ -114,7 +114,7 @@
 // not be taken for stored before that is known.
 func TestWriteWithoutAnswerIsSettled(t *testing.T) {
 	tab := newTable()
-	h := New("p", "a", hclog.NewNullLogger())
+	h := New("p", "a", 1, hclog.NewNullLogger())
 	require.Equal(t, Acquired, claim(t, h, tab, start, 0))
 	now := start.Add(1500 * time.Millisecond)
 	for _, write := range []func() Write{
@@ -132,7 +132,7 @@
 // A transaction that takes effect late must not overwrite a later one.
 func TestLateWriteFails(t *testing.T) {
 	tab := newTable()
-	h := New("p", "a", hclog.NewNullLogger())
+	h := New("p", "a", 1, hclog.NewNullLogger())
 	require.Equal(t, Acquired, claim(t, h, tab, start, 0))
 	late := h.Append(start, []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("old")}})
 	next := h.Append(start, []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("new")}})
@@ -144,7 +144,7 @@
 // An outage of the store ended the orders of an owner that nobody could follow.
 func TestHolderGoesOnForABoundedTime(t *testing.T) {
 	tab := newTable()
-	h := New("p", "a", hclog.NewNullLogger())
+	h := New("p", "a", 1, hclog.NewNullLogger())
 	require.Equal(t, Acquired, claim(t, h, tab, start, 0))
 	tab.refuse = true
 	now := start.Add(4 * time.Second)
@@ -157,7 +157,20 @@
 // A process that was restarted takes its own lease back at once.
 func TestRestartedHolderClaimsAtOnce(t *testing.T) {
 	tab := newTable()
-	require.Equal(t, Acquired, claim(t, New("p", "a", hclog.NewNullLogger()), tab, start, 0))
-	again := New("p", "a", hclog.NewNullLogger())
+	require.Equal(t, Acquired, claim(t, New("p", "a", 1, hclog.NewNullLogger()), tab, start, 0))
+	again := New("p", "a", 1, hclog.NewNullLogger())
 	require.True(t, again.ClaimDue(start, tab.view(start, 0), 0))
 }
+
+// A weak VM that took a busy pool over could not carry its orders.
+func TestWeakVMLeavesLeasesToStrongOnes(t *testing.T) {
+	tab := newTable()
+	strong := New("p", "a", 0.8, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claim(t, strong, tab, start, 0))
+	silent := leaseTime + claimSpread
+	v := tab.view(start, silent)
+	require.False(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(start, v, 0))
+	require.True(t, New("p", "equal", 0.8, hclog.NewNullLogger()).ClaimDue(start, v, 0))
+	v = tab.view(start, silent+3*weakness)
+	require.True(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(start, v, 0))
+}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -38,20 +38,6 @@
 // already, so that pools spread over the VMs.
 const claimBackoff = 150 * time.Millisecond
 
-// claimWeakness is how much longer a process waits for the lack of processor
-// time of its VM, so that pools go to strong VMs: a VM with a fifth of a core
-// waits 4 times this long.
-const claimWeakness = 60 * time.Millisecond
-
-// ClaimDelay returns how long a process waits beyond the end of a lease for
-// the weakness of its VM. share is the part of a core that the VM has.
-func ClaimDelay(share float64) time.Duration {
-	if share <= 0 || share >= 1 {
-		return 0
-	}
-	return time.Duration(float64(claimWeakness) * (1/share - 1))
-}
-
 // Storing of progress.
 const (
 	// flushGap is the time between transactions of a pool that callers wait
@@ -82,17 +68,17 @@
 
 // Options configures New.
 type Options struct {
-	Self       string
-	Bounds     settings.Bounds
-	ClaimDelay time.Duration // see the function of this name
-	Table      store.Table
-	Feed       store.Feed
-	Dial       func(id, addr string) Worker
-	Policy     Policy // nil: there is none
-	Decode     func(key string, value []byte) (workload.Worker, error)
-	Wanted     map[string]*ring.Ring[bool] // by table: turns its follower on
-	Log        hclog.Logger
-	Metrics    *metrics.Registry
+	Self      string
+	Bounds    settings.Bounds
+	Processor float64 // part of a core that the VM has
+	Table     store.Table
+	Feed      store.Feed
+	Dial      func(id, addr string) Worker
+	Policy    Policy // nil: there is none
+	Decode    func(key string, value []byte) (workload.Worker, error)
+	Wanted    map[string]*ring.Ring[bool] // by table: turns its follower on
+	Log       hclog.Logger
+	Metrics   *metrics.Registry
 }
 
 // Duty owns pools.
@@ -213,7 +199,7 @@
 	}
 	for _, name := range d.names {
 		p := d.pools[name]
-		if !d.leaving && p.ClaimDue(now, d.view, d.ClaimDelay+time.Duration(held)*claimBackoff) {
+		if !d.leaving && p.ClaimDue(now, d.view, time.Duration(held)*claimBackoff) {
 			d.commit(ctx, p, p.Claim(now, d.view))
 			held++
 		}
@@ -246,7 +232,7 @@
 	}
 	for _, o := range v.Configuration.Pools {
 		if d.pools[o.Name] == nil {
-			d.pools[o.Name] = &pool{Holder: holder.New(o.Name, d.Self, d.Log)}
+			d.pools[o.Name] = &pool{Holder: holder.New(o.Name, d.Self, d.Processor, d.Log)}
 			d.names = append(d.names, o.Name)
 		}
 	}
--- a/rows/work.go
+++ b/rows/work.go
@@ -25,6 +25,7 @@
 // Control is the value of the lease row of a pool or of the fleet.
 type Control struct {
 	Lease
+	Share   float64          // part of a core that the holder's VM has
 	Engaged []engine.Engaged `json:",omitempty"` // workers that may have runs of the holder
 	Status  engine.Status    `json:",omitzero"`  // of a pool
 	Release []string         `json:",omitempty"` // machines that the fleet's holder wants without work
