--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -14,8 +14,8 @@
 const evacuation = 6 * time.Second
 
 // planWaves chooses machines for upkeep. Machines without lasting tasks have
-// it as soon as their pool can spare them. Of the others one of a pool at a
-// time is emptied, from the beginning of the wave, since that takes long.
+// it as soon as their pool can spare them. The others are emptied a few at a
+// time from the beginning of the wave, since that takes long.
 func (m *Machine) planWaves() {
 	for _, number := range m.waveNumbers() {
 		w := m.waves[number]
@@ -28,7 +28,7 @@
 			if open >= w.MaxDown+m.emptying(w) {
 				break
 			}
-			if !hurry && !m.canSpare(x) {
+			if !hurry && !m.canSpare(w, x) {
 				continue
 			}
 			x.plan = &plan{wave: number, since: m.now}
@@ -59,7 +59,7 @@
 
 // canSpare reports whether the machine's pool can do without it for the time
 // of its upkeep.
-func (m *Machine) canSpare(x *machine) bool {
+func (m *Machine) canSpare(w *wave, x *machine) bool {
 	p := m.pools[x.Pool]
 	if p == nil || p.Standby {
 		return true
@@ -68,11 +68,24 @@
 		return false
 	}
 	if x.load.Lasting > 0 {
-		return m.awayIn(x.Pool, true) == 0
+		return m.awayIn(x.Pool, true) < m.emptyAtOnce(w, x.Pool)
 	}
 	return x.load.Runs == 0 && p.Status.Short == 0 && m.awayIn(x.Pool, false) < max(1, m.have(x.Pool)/3)
 }
 
+// emptyAtOnce returns how many machines of a pool with lasting tasks have to be
+// emptied at the same time for the wave to end in time.
+func (m *Machine) emptyAtOnce(w *wave, pool string) int {
+	busy := 0
+	for _, id := range w.Machines {
+		if x := m.machines[id]; x != nil && x.Pool == pool && !w.kept[id] && x.load.Lasting > 0 {
+			busy++
+		}
+	}
+	left := max(time.Second, w.Since.Add(w.Within).Sub(m.now)-evacuation)
+	return max(1, int(math.Ceil(float64(busy)*float64(evacuation)/float64(left))))
+}
+
 // dueForUpkeep returns the machines of a wave that may be planned, those first
 // whose absence costs least.
 func (m *Machine) dueForUpkeep(w *wave) []*machine {
