Bound what an owner without its lease may start

Ruled out: late orders and lapsed leases (none near in the records). Change: new jobs wait until the lease is valid again; nothing is started when the work table was last read longer ago than the bound on cancellations, less 0.4 s; after an outage all leases are observed anew, so that their owners keep them.

--- a/engine/machine.go
+++ b/engine/machine.go
@@ -51,6 +51,7 @@
 	waitingSteps   int                  // in the last placement
 	placeAt        time.Time            // no placement before
 	watchAt        time.Time            // no look at all runs before
+	paused         bool                 // nothing is started
 	deposed        bool
 	wake           time.Time
 	out            []Action
@@ -112,6 +113,13 @@
 	return m.out
 }
 
+// Pause stops placement, or lets it go on. Runs are held and their ends taken
+// in all the same.
+func (m *Machine) Pause(paused bool) {
+	m.changed = m.changed || m.paused && !paused
+	m.paused = paused
+}
+
 // Wake returns when Step wants to be called without an event; the zero time
 // if never.
 func (m *Machine) Wake() time.Time { return m.wake }
--- a/engine/place.go
+++ b/engine/place.go
@@ -44,7 +44,7 @@
 
 // place starts waiting tasks on workers with room.
 func (m *Machine) place(now time.Time) {
-	if !m.changed {
+	if !m.changed || m.paused {
 		return
 	}
 	if now.Before(m.placeAt) {
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -271,3 +271,20 @@
 	require.Len(t, r.starts, 2)
 	require.Equal(t, 1, r.starts[1].Task.Occurrence)
 }
+
+// A machine that may not start anything still has to keep what runs.
+func TestPausedMachineHoldsAndTakesEnds(t *testing.T) {
+	r := newRig(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(1)))
+	r.m.Pause(true)
+	r.step(testJob("j2", simpleStep(1)))
+	holds := len(r.holds)
+	r.workers["a"].end(r.starts[0].Task, 1, EndDone)
+	r.pass(time.Second)
+	require.Len(t, r.starts, 1)
+	require.Greater(t, len(r.holds), holds)
+	require.Equal(t, workload.Completed, r.m.jobs["j1"].state)
+	r.m.Pause(false)
+	r.pass(100 * time.Millisecond)
+	require.Len(t, r.starts, 2)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -115,6 +115,9 @@
 		if ok && seen.Draining != w.Draining {
 			m.decide("worker-draining", fmt.Sprintf("draining %t, %s left", seen.Draining, seen.Remaining), nil, w, 0)
 		}
+		if ok && seen.Born == 0 {
+			seen.Born = w.Born // not told this time
+		}
 		w.Worker, w.listed = seen, true
 	}
 	m.changed = true
--- a/node/board/board.go
+++ b/node/board/board.go
@@ -108,7 +108,7 @@
 		return true
 	}
 	if d.Table == store.TableControl {
-		b.view.Failing = time.Time{}
+		b.endFailure(now)
 		if d.Reset {
 			b.dropLeases(d)
 		}
@@ -126,6 +126,19 @@
 	return true
 }
 
+// endFailure starts the observation of all leases anew when the store returns:
+// while it was away no holder could renew.
+func (b *Board) endFailure(now time.Time) {
+	if b.view.Failing.IsZero() {
+		return
+	}
+	b.view.Failing = time.Time{}
+	for name, l := range b.view.Leases {
+		l.Since = now
+		b.view.Leases[name] = l
+	}
+}
+
 // dropLeases forgets lease rows that a whole reading does not have.
 func (b *Board) dropLeases(d follow.Delta) {
 	maps.DeleteFunc(b.view.Leases, func(name string, _ Lease) bool {
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -20,8 +20,8 @@
 )
 
 // operateBeyond is how long an owner that can't renew its lease goes on, so
-// that an outage of the store does not stop running jobs. It is longer than
-// most outages. A successor fences the workers that it reaches, and waits for
+// that an outage of the store does not end running jobs. It is longer than
+// most outages; knowsCancellations bounds the starts in it. A successor fences the workers that it reaches, and waits for
 // the others by as much longer.
 const operateBeyond = 5 * time.Second
 
@@ -52,6 +52,10 @@
 func (d *Duty) step(ctx context.Context, now time.Time, p *pool) {
 	events := p.events
 	p.events = nil
+	if !p.Valid(now) {
+		events, p.events = withoutNewJobs(events)
+	}
+	p.machine.Pause(!d.knowsCancellations(now))
 	for _, a := range p.machine.Step(now, time.Now().UnixMilli(), events...) {
 		d.carryOut(ctx, p, a)
 		if p.machine == nil {
@@ -60,6 +64,31 @@
 	}
 }
 
+// cancelMargin is left of the bound on starts after a cancellation for the
+// time between the check and the start.
+const cancelMargin = 400 * time.Millisecond
+
+// knowsCancellations reports whether the work table was read recently enough
+// to start tasks: of a job that was cancelled since, none may start later than
+// the bound.
+func (d *Duty) knowsCancellations(now time.Time) bool {
+	return d.Bounds.CancelWithin == 0 || now.Sub(d.workRead) < d.Bounds.CancelWithin-cancelMargin
+}
+
+// withoutNewJobs takes jobs that are new out of the events. An owner whose
+// lease has ended must not start them: a successor may know them already, and
+// has no reason to wait before it starts them itself.
+func withoutNewJobs(events []engine.Event) (rest, later []engine.Event) {
+	for _, e := range events {
+		if _, ok := e.(engine.JobSeen); ok {
+			later = append(later, e)
+			continue
+		}
+		rest = append(rest, e)
+	}
+	return rest, later
+}
+
 func (d *Duty) carryOut(ctx context.Context, p *pool, a engine.Action) {
 	name, token := p.Name, p.Control.Token
 	reply := func(e engine.Event) { d.post(ctx, answered{pool: name, token: token, event: e}) }
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -44,6 +44,7 @@
 	}
 	loaded struct {
 		pool  string
+		sent  time.Time
 		token uint64
 		work  []store.Row
 		marks []store.Row
@@ -106,7 +107,7 @@
 
 // load reads the jobs of a pool that has been taken over.
 func (d *Duty) load(ctx context.Context, p *pool) {
-	r := loaded{pool: p.Name, token: p.Control.Token}
+	r := loaded{pool: p.Name, sent: d.now(), token: p.Control.Token}
 	p.loading = true
 	d.stores.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -129,6 +130,7 @@
 		p.loadAt = d.now().Add(loadRetry)
 		return
 	}
+	d.workRead = maxTime(d.workRead, r.sent)
 	p.machine = engine.New(d.now(), engine.Config{
 		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.Bounds.MaxLease + operateBeyond,
 		KillGrace: d.Bounds.KillGrace, GangWait: d.Bounds.GangWait, FarFactor: d.Bounds.FarFactor,
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -96,6 +96,7 @@
 	pools     map[string]*pool
 	names     []string
 	registry  registry
+	workRead  time.Time // sending of the newest complete reading of the work table
 	clients   map[client]Worker
 	leaving   bool
 	following bool
@@ -287,6 +288,13 @@
 	}
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -54,6 +54,9 @@
 // takeDelta takes in a reading of the registrations or of the work table.
 func (d *Duty) takeDelta(delta follow.Delta) {
 	if delta.Table == store.TableWork {
+		if !delta.Failing {
+			d.workRead = maxTime(d.workRead, delta.Sent)
+		}
 		for _, c := range delta.Changes {
 			d.takeChange(c)
 		}
--- a/settings/node.go
+++ b/settings/node.go
@@ -30,6 +30,7 @@
 // Bounds are the platform's promises and demands that decisions depend on.
 type Bounds struct {
 	MaxLease     time.Duration // of runs at a worker
+	CancelWithin time.Duration // after the answer to a cancellation, no task of the job may start
 	KillGrace    time.Duration // that a stop takes at most
 	GangWait     time.Duration // that a member of a gang waits for the others
 	FarFactor    float64       // run time away from the data, relative
