Keep a cancellation behind its job

The job waited, the cancellation did not, found no job, and was forgotten. Measured: TestCancellationStaysBehindItsJob fails before and passes after.

--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -75,14 +75,23 @@
 	return d.Bounds.CancelWithin == 0 || now.Sub(d.workRead) < d.Bounds.CancelWithin-cancelMargin
 }
 
-// withoutNewJobs takes jobs that are new out of the events. An owner whose
-// lease has ended must not start them: a successor may know them already, and
-// has no reason to wait before it starts them itself.
+// withoutNewJobs takes jobs that are new out of the events, with their
+// cancellations. An owner whose lease has ended must not start them: a
+// successor may know them already, and has no reason to wait before it starts
+// them itself.
 func withoutNewJobs(events []engine.Event) (rest, later []engine.Event) {
+	held := map[string]bool{}
 	for _, e := range events {
-		if _, ok := e.(engine.JobSeen); ok {
+		switch e := e.(type) {
+		case engine.JobSeen:
+			held[e.Submission.ID] = true
 			later = append(later, e)
 			continue
+		case engine.CancelSeen:
+			if held[e.Job] {
+				later = append(later, e)
+				continue
+			}
 		}
 		rest = append(rest, e)
 	}
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -23,6 +23,14 @@
 	require.Equal(t, []engine.Event{job}, later)
 }
 
+// A cancellation that overtook its job was forgotten, and the job ran.
+func TestCancellationStaysBehindItsJob(t *testing.T) {
+	job, cancel := engine.JobSeen{Submission: workload.Submission{ID: "j"}}, engine.CancelSeen{Job: "j"}
+	rest, later := withoutNewJobs([]engine.Event{job, cancel})
+	require.Empty(t, rest)
+	require.Equal(t, []engine.Event{job, cancel}, later)
+}
+
 // An owner that the store turned away went on to start tasks of a job whose
 // cancellation it could not read.
 func TestOwnerThatCannotReadCancellationsStartsNothing(t *testing.T) {
