Let a new owner wait only for what it has to

Ruled out: quarantine and want of room (the task was its step's only candidate). Change: released workers leave the lease row; tasks that the owner has seen run need not wait; lasting tasks are moved by choice only when the former owner's stops must have ended.

--- a/engine/job.go
+++ b/engine/job.go
@@ -61,8 +61,8 @@
 	saved   string
 	runs    []*run
 	readyAt time.Time
-	avoid   string    // worker of the last failed run
-	freedAt time.Time // when it was last without a run
+	avoid   string // worker of the last failed run
+	known   bool   // this owner has seen it run, so no worker can run it unknown to this owner
 }
 
 // runState is what is known of a run.
@@ -184,8 +184,11 @@
 }
 
 // waiting reports whether the task may be started now.
-func (t *task) waiting(now time.Time) bool {
-	return !t.done && len(t.runs) == 0 && !now.Before(t.readyAt)
+func (m *Machine) waiting(now time.Time, t *task) bool {
+	if t.done || len(t.runs) > 0 || now.Before(t.readyAt) {
+		return false
+	}
+	return t.known || !t.step.occ.job.recovered || m.settled()
 }
 
 // objective returns the time by which the occurrence should have ended.
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -51,6 +51,7 @@
 	waitingSteps   int                  // in the last placement
 	placeAt        time.Time            // no placement before
 	watchAt        time.Time            // no look at all runs before
+	movesFrom      time.Time            // no lasting task is moved by choice before
 	paused         bool                 // nothing is started
 	deposed        bool
 	wake           time.Time
@@ -80,6 +81,10 @@
 		ended: map[string]workload.JobState{}, workers: map[string]*worker{},
 		release: map[string]bool{}, reserved: map[*worker]bool{}, former: map[string]time.Time{},
 	}
+	if len(former) > 0 {
+		// Stops of the former owner may still be under way.
+		m.movesFrom = now.Add(cfg.KillGrace + stopRepeat)
+	}
 	lapse := now.Add(stretchLease(cfg.FormerLease))
 	for _, e := range former {
 		m.former[e.ID] = lapse
--- a/engine/place.go
+++ b/engine/place.go
@@ -133,7 +133,7 @@
 		return
 	}
 	for _, t := range c.step.tasks {
-		if t.waiting(now) {
+		if m.waiting(now, t) {
 			m.short += c.step.spec.Size.MilliCores
 		}
 	}
@@ -144,7 +144,7 @@
 func (m *Machine) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, j := range m.order {
-		if j.state.Ended() || j.recovered && !m.settled() {
+		if j.state.Ended() {
 			continue
 		}
 		for _, o := range j.live {
@@ -174,7 +174,7 @@
 			m.changed = true
 			continue
 		}
-		found = true
+		found = found || m.waiting(now, t)
 	}
 	return found
 }
@@ -204,7 +204,7 @@
 // whether each found a worker.
 func (m *Machine) placeStep(now time.Time, s *step) (placed int, all bool) {
 	for _, t := range s.tasks {
-		if !t.waiting(now) {
+		if !m.waiting(now, t) {
 			continue
 		}
 		w := m.pick(now, s, t)
@@ -350,7 +350,7 @@
 func (m *Machine) placeGang(now time.Time, s *step) {
 	attempt := 0
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.readyAt) {
+		if !m.waiting(now, t) {
 			return
 		}
 		attempt = max(attempt, m.nextAttempt(t))
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -288,3 +288,50 @@
 	r.pass(100 * time.Millisecond)
 	require.Len(t, r.starts, 2)
 }
+
+// A new owner stopped a lasting task while a stop of its predecessor was still
+// under way, beyond what the step may miss.
+func TestNewOwnerMovesNothingBeforeTheFormersStopsHaveEnded(t *testing.T) {
+	a, b := newWorker("a"), newWorker("b")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1, Percent: 100}}
+	a.still = true
+	r := newRig(t, 2, []Engaged{{ID: "a", Born: 1}, {ID: "b", Born: 1}})
+	a.born, b.born = r.now.Add(-time.Minute), r.now.Add(-time.Minute)
+	r.workers["a"], r.workers["b"] = a, b
+	old := testJob("j1", lastingStep(1, 1))
+	old.Recovered = true
+	r.step(old, r.listed(), ReleaseSeen{Machines: map[string]bool{"m-a": true}, Version: 3})
+	r.pass(800 * time.Millisecond)
+	require.Empty(t, r.stops)
+	r.pass(time.Second)
+	require.Len(t, r.stops, 1)
+}
+
+// A lasting task that this owner had seen running waited for workers of the
+// former owner that did not answer.
+func TestTaskSeenRunningNeedNotWaitForOtherWorkers(t *testing.T) {
+	a := newWorker("a")
+	task := workload.TaskID{Job: "j1"}
+	a.running = []RunReport{{Task: task, Attempt: 1, Percent: 100}}
+	r := newRig(t, 2, []Engaged{{ID: "a", Born: 1}, {ID: "gone", Born: 1}})
+	a.born = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	old := testJob("j1", lastingStep(1, 0))
+	old.Recovered = true
+	r.step(old, r.listed())
+	a.end(task, 1, EndFailed)
+	r.pass(200 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+}
+
+// A worker that was released stayed in the lease row, and the next owner
+// waited for it.
+func TestReleasedWorkerLeavesTheLeaseRow(t *testing.T) {
+	r := newRig(t, 1, nil, newWorker("a"), newWorker("b"))
+	require.Len(t, r.m.Collect(1).Engaged, 2)
+	r.step(ReleaseSeen{Machines: map[string]bool{"m-a": true}, Version: 3})
+	require.Equal(t, []Engaged{{ID: "b", Born: 1}}, r.m.Collect(1).Engaged)
+	r.step(ReleaseSeen{Version: 4}, testJob("j1", simpleStep(30)))
+	r.pass(100 * time.Millisecond)
+	require.Len(t, r.starts, 30, "it is used again after the row names it")
+}
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -111,7 +111,7 @@
 func (m *Machine) mustLeave(now time.Time, w *worker, r *run) bool {
 	s := r.task.step
 	if s.spec.Lasting {
-		return w.Draining || m.mayMiss(r)
+		return w.Draining || !now.Before(m.movesFrom) && m.mayMiss(r)
 	}
 	left := time.Duration(float64(s.spec.Estimate) * float64(100-r.percent) / 100)
 	if w.Draining {
@@ -257,7 +257,7 @@
 		return true
 	}
 	for _, w := range m.workers {
-		if w.synced && !w.engaged && !w.gone || m.released(w) && !w.reported {
+		if w.engages(m) && !w.engaged || m.released(w) && !w.reported {
 			return true
 		}
 	}
@@ -306,7 +306,8 @@
 	}
 	for _, id := range m.ids {
 		w := m.workers[id]
-		if w.synced && (!w.gone || len(w.runs) > 0) {
+		w.engaged = w.engaged && w.engages(m)
+		if w.engages(m) {
 			b.Engaged = append(b.Engaged, Engaged{ID: w.ID, Born: w.Born})
 			b.engaged[w.ID] = w.Born
 			b.NewWorkers = b.NewWorkers || !w.engaged
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -65,6 +65,13 @@
 	out        time.Time // end of the quarantine
 }
 
+// engages reports whether the worker belongs into the lease row: it has runs,
+// or may get some. A successor waits for the workers of the row, so one that
+// left without work must not stay there.
+func (w *worker) engages(m *Machine) bool {
+	return w.synced && (len(w.runs) > 0 || w.listed && !w.gone && !w.Draining && !m.release[w.Machine])
+}
+
 func (w *worker) target() Target { return Target{Life: w.Life, Addr: w.Addr} }
 
 // now estimates the worker's clock; the estimate is never ahead of it by more
@@ -285,7 +292,6 @@
 	} else {
 		delete(t.step.perWorker, w.ID)
 	}
-	t.freedAt = now
 	m.changed = true
 }
 
@@ -406,6 +412,7 @@
 	surplus := t.done || t.step.occ.job.state.Ended() || len(t.runs) > 0 && !t.step.spec.Copies
 	m.attach(r)
 	t.lastRun = max(t.lastRun, seen.Attempt)
+	t.known = true
 	m.decide("run-adopted", "listed by the worker", t, w, seen.Attempt)
 	if surplus {
 		m.stop(r, "the task is done or runs elsewhere")
