--- a/daemon/node/admin.go
+++ b/daemon/node/admin.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"time"
 
 	"github.com/carobwharf/carobwharf/duty"
@@ -19,18 +18,12 @@
 	opts Options
 }
 
-// addAdmin opens the admin address: the VM's own IP and the first port that is
-// free for the process's use. Without one, there is no admin address.
+// addAdmin opens the admin address, if there is one.
 func (n *Node) addAdmin(o Options) error {
-	if o.Settings.Ports[0] == 0 {
+	if o.Settings.Admin == "" {
 		return nil
 	}
-	callers, err := netip.ParseAddrPort(o.Settings.Callers)
-	if err != nil {
-		return fmt.Errorf("address for callers: %w", err)
-	}
-	addr := netip.AddrPortFrom(callers.Addr(), uint16(o.Settings.Ports[0]))
-	server, err := operator.NewAdmin(addr.String(), admin{node: n, opts: o})
+	server, err := operator.NewAdmin(o.Settings.Admin, admin{node: n, opts: o})
 	if err != nil {
 		return fmt.Errorf("listen for admin calls: %w", err)
 	}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -93,7 +93,7 @@
 	n := &Node{set: o.Settings, log: o.Log, sup: duty.NewSupervisor()}
 	part := func(name string) hclog.Logger { return logging.For(o.Log, name) }
 	n.store = platformstore.New(platformstore.Options{
-		Addr: o.Settings.Store.Addr, Timeout: storeTimeout, MaxConnections: storeConnections,
+		Addr: o.Settings.Store, Timeout: storeTimeout, MaxConnections: storeConnections,
 	})
 	wanted := map[string]*ring.Ring[bool]{
 		store.TableWork: ring.New[bool]("follow-work", 1, ring.KeepNewest),
@@ -223,7 +223,7 @@
 
 // Run serves until ctx ends, then leaves in order.
 func (n *Node) Run(ctx context.Context) error {
-	n.log.Info("started", "node", n.set.ID, "callers", n.set.Callers, "store", n.set.Store.Addr)
+	n.log.Info("started", "node", n.set.ID, "callers", n.set.Callers, "store", n.set.Store)
 	n.sup.Start(ctx)
 	var failure error
 	select {
--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,19 +32,15 @@
 func startNode(t *testing.T, p *users.Platform, id string) (addr string, stop func()) {
 	set := settings.Node{
 		ID: id, Callers: freeAddr(t), Ready: freeAddr(t),
-		Store: settings.NodeStore{Addr: p.StoreAddr, WritesPerS: 600, ReadsPerS: 2000}, Fleet: p.FleetAddr,
+		Store: p.StoreAddr, Fleet: p.FleetAddr,
 		Bounds: settings.Bounds{
 			MaxLease: 6 * time.Second, KillGrace: 900 * time.Millisecond, MoveTime: time.Second, UpkeepTime: time.Second,
 			HolderChange: time.Second,
 		},
 		Processor: 1, StopWithin: time.Second,
 	}
-	admin := freeAddr(t)
-	_, port, err := net.SplitHostPort(admin)
-	require.NoError(t, err)
-	set.Ports[0], err = strconv.Atoi(port)
-	require.NoError(t, err)
-	adminAddrs[set.Callers] = admin
+	set.Admin = freeAddr(t)
+	adminAddrs[set.Callers] = set.Admin
 	n, err := New(Options{Settings: set, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -44,8 +44,7 @@
 func testConfig(token uint64) Config {
 	return Config{
 		Pool: "p", Token: token, Lease: testLease, FormerLease: testLease,
-		KillGrace: 900 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 2,
-		Early: 250 * time.Millisecond, AtWork: 4500 * time.Millisecond, TailBreach: 4 * time.Second,
+		KillGrace: 900 * time.Millisecond,
 	}
 }
 
--- a/engine/job.go
+++ b/engine/job.go
@@ -87,7 +87,6 @@
 	percent    int
 	percentAt  time.Time // when percent last changed
 	load       int
-	overSince  time.Time // its tail has been over the target since then
 	pace       int
 	stopSent   time.Time
 	stopAcked  time.Time
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -23,11 +23,6 @@
 	Lease       time.Duration // of runs at a worker, from each hold
 	FormerLease time.Duration // after a takeover, until all that the former owner ordered has lapsed
 	KillGrace   time.Duration // that a stop takes at most
-	GangWait    time.Duration // that a member of a gang waits for the others
-	FarFactor   float64       // run time away from the data, relative
-	Early       time.Duration // tolerance before the due time
-	AtWork      time.Duration // a lasting task that is not at work for longer counts as away
-	TailBreach  time.Duration // a tail over its target for longer is a breach
 }
 
 // Machine decides for one pool. It is used from one goroutine.
--- a/engine/place.go
+++ b/engine/place.go
@@ -29,9 +29,6 @@
 // lateFactor is how many times the objective an end still counts as late.
 const lateFactor = 3
 
-// lastingRetry spaces the starts of a lasting task that keeps ending.
-const lastingRetry = 200 * time.Millisecond
-
 // candidate is a step with tasks to place.
 type candidate struct {
 	step     *step
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -14,9 +14,6 @@
 	stillPart = 0.25
 	// startupOf is how long a lasting task may take to be at work.
 	startupOf = 3 * time.Second
-	// copyAfter is how many times its estimate a task that may run twice takes
-	// before a second run starts.
-	copyAfter = 2.0
 	// watchEvery is the time between looks at all runs.
 	watchEvery = 50 * time.Millisecond
 	// stopRepeat is the time after which a stop without effect is repeated,
@@ -163,20 +160,6 @@
 	paceStep   = 25   // percent
 )
 
-func (m *Machine) observeTail(now time.Time, r *run) {
-	target := r.task.step.spec.TailTarget
-	if target == 0 {
-		return
-	}
-	over := time.Duration(r.load)*time.Millisecond > target
-	switch {
-	case !over:
-		r.overSince = time.Time{}
-	case r.overSince.IsZero():
-		r.overSince = now
-	}
-}
-
 // adjustPace orders the pace of fill tasks from the tails of the tasks that
 // serve beside them.
 func (m *Machine) adjustPace() {
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -13,8 +13,6 @@
 
 // Calls to workers.
 const (
-	// orderTimeout bounds an order. A worker answers in milliseconds.
-	orderTimeout = 600 * time.Millisecond
 	// holdTimeout is how long a hold may take beyond its wait.
 	holdTimeout = 600 * time.Millisecond
 )
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -133,8 +133,7 @@
 	d.workRead = maxTime(d.workRead, r.sent)
 	p.machine = engine.New(d.now(), engine.Config{
 		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.Bounds.MaxLease + operateBeyond,
-		KillGrace: d.Bounds.KillGrace, GangWait: d.Bounds.GangWait, FarFactor: d.Bounds.FarFactor,
-		Early: d.Bounds.Early, AtWork: d.Bounds.AtWork, TailBreach: d.Bounds.TailBreach,
+		KillGrace: d.Bounds.KillGrace,
 	}, p.Former.Engaged)
 	p.add(engine.QueuesSeen{Queues: p.configuration.Queues})
 	marks := map[string]*workload.Progress{}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -35,18 +35,14 @@
 // PoolOptions are the operator's settings of a pool.
 type PoolOptions struct {
 	Name    string
-	Guarded bool   // its workers refuse what exceeds their capacity
-	Standby bool   // its machines are off until they are moved elsewhere
-	Health  string // path of the health check
+	Standby bool // its machines are off until they are moved elsewhere
 }
 
 // Configuration is one version of what operators want.
 type Configuration struct {
-	Version   uint64
-	Queues    []Queue
-	Pools     []PoolOptions
-	MaxHeader int // bytes
-	MaxBody   int // bytes
+	Version uint64
+	Queues  []Queue
+	Pools   []PoolOptions
 }
 
 // Match returns the queue with the longest prefix of path among those of the
