Acknowledge the ends of workers that have left the lease row

Ruled out: renewals of the lease row (as many as before). Measured: TestReleasedWorkerLeavesTheLeaseRow fails before and passes after. Conclusion: ends are stored by the life of the worker, not by the row.

--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -331,6 +331,12 @@
 	require.Len(t, r.m.Collect(1).Engaged, 2)
 	r.step(ReleaseSeen{Machines: map[string]bool{"m-a": true}, Version: 3})
 	require.Equal(t, []Engaged{{ID: "b", Born: 1}}, r.m.Collect(1).Engaged)
+	// Its last ends were never acknowledged, and its machine never released.
+	r.workers["a"].ends = 1
+	r.workers["a"].ended = []EndReport{{Number: 1, Task: workload.TaskID{Job: "j0"}, Attempt: 1, How: EndDone}}
+	r.pass(3 * time.Second)
+	require.Empty(t, r.workers["a"].ended)
+	require.True(t, r.m.Status(r.now).Machines[0].Released)
 	r.step(ReleaseSeen{Version: 4}, testJob("j1", simpleStep(30)))
 	r.pass(100 * time.Millisecond)
 	require.Len(t, r.starts, 30, "it is used again after the row names it")
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -217,7 +217,7 @@
 	Engaged []Engaged // all workers that may get or have runs
 	// NewWorkers: Engaged has workers that the stored lease row does not have.
 	NewWorkers bool
-	ends       map[string]int
+	ends       map[workload.Life]int
 	engaged    map[string]int64
 	jobs       []*job
 }
@@ -273,7 +273,7 @@
 // Collect returns what is to be stored, with at most limit jobs. At most one
 // batch is under way.
 func (m *Machine) Collect(limit int) *Batch {
-	b := &Batch{Jobs: map[string]workload.Progress{}, ends: map[string]int{}, engaged: map[string]int64{}}
+	b := &Batch{Jobs: map[string]workload.Progress{}, ends: map[workload.Life]int{}, engaged: map[string]int64{}}
 	whole := true
 	for _, j := range m.order {
 		if !j.dirty {
@@ -296,7 +296,7 @@
 			b.NewWorkers = b.NewWorkers || !w.engaged
 		}
 		if whole {
-			b.ends[w.ID] = w.seen
+			b.ends[w.Life] = w.seen
 		}
 	}
 	for id := range m.former {
@@ -315,8 +315,8 @@
 	if !e.OK {
 		return
 	}
-	for id, n := range e.Batch.ends {
-		if w, ok := m.workers[id]; ok && e.Batch.engaged[id] == w.Born {
+	for life, n := range e.Batch.ends {
+		if w := m.live(life); w != nil {
 			w.storable = max(w.storable, n)
 		}
 	}
