Keep recovered jobs when the lease has ended

All jobs were kept back as new, and their runs, which the workers listed, were stopped as unwanted (17.2188 s, run-unwanted). Ruled out: an incomplete reading of the jobs (the count is right). Measured: TestRecoveredJobsAreNotKeptBack fails before and passes after. Conclusion: only jobs that are newer than the takeover wait for the lease.

--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -76,15 +76,18 @@
 // withoutNewJobs takes jobs that are new out of the events, with their
 // cancellations. An owner whose lease has ended must not start them: a
 // successor may know them already, and has no reason to wait before it starts
-// them itself.
+// them itself. Jobs that were recovered stay: without them their runs would be
+// taken for unwanted ones.
 func withoutNewJobs(events []engine.Event) (rest, later []engine.Event) {
 	held := map[string]bool{}
 	for _, e := range events {
 		switch e := e.(type) {
 		case engine.JobSeen:
-			held[e.Submission.ID] = true
-			later = append(later, e)
-			continue
+			if !e.Recovered {
+				held[e.Submission.ID] = true
+				later = append(later, e)
+				continue
+			}
 		case engine.CancelSeen:
 			if held[e.Job] {
 				later = append(later, e)
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -23,6 +23,15 @@
 	require.Equal(t, []engine.Event{job}, later)
 }
 
+// An owner whose claim was answered late, so that its lease had ended, kept the
+// recovered jobs back too and stopped their runs as unwanted.
+func TestRecoveredJobsAreNotKeptBack(t *testing.T) {
+	job := engine.JobSeen{Submission: workload.Submission{ID: "j"}, Recovered: true}
+	rest, later := withoutNewJobs([]engine.Event{job, engine.CancelSeen{Job: "j"}})
+	require.Len(t, rest, 2)
+	require.Empty(t, later)
+}
+
 // A cancellation that overtook its job was forgotten, and the job ran.
 func TestCancellationStaysBehindItsJob(t *testing.T) {
 	job, cancel := engine.JobSeen{Submission: workload.Submission{ID: "j"}}, engine.CancelSeen{Job: "j"}
