Keep what workers do out of the lease rows, and read only a pool's own queues

Change: rows of the table load for the fleet's owner and a successor; parts of the work table by queue; its follower brings changes only, and what was missed is read again by the pools; weak VMs do not claim at once. The new tests fail without the changes.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -110,12 +110,13 @@
 		Dial:   func(id, addr string) pools.Worker { return worker.New(id, addr, orderTimeout) },
 		Decode: worker.Decode, Wanted: wanted, Log: part("pools"), Metrics: o.Metrics,
 	})
+	loads := ring.New[bool]("follow-loads", 1, ring.KeepNewest)
 	viewers := []*ring.Ring[*board.View]{in.Views, n.pools.Views}
 	if o.Settings.Fleet != "" {
 		n.fleet = nodefleet.New(nodefleet.Options{
 			Self: o.Settings.ID, Bounds: o.Settings.Bounds, Processor: o.Settings.Processor, Table: n.store,
 			Service: platformfleet.New(o.Settings.Fleet, o.Settings.ID, fleetTimeout),
-			Refusal: fleetRefusal, WaveStatus: waveStatus, Log: part("fleet"), Metrics: o.Metrics,
+			Wanted:  loads, Refusal: fleetRefusal, WaveStatus: waveStatus, Log: part("fleet"), Metrics: o.Metrics,
 		})
 		viewers = append(viewers, n.fleet.Views)
 	}
@@ -134,11 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
-	follower := func(table string, gap time.Duration, parts []string, on *ring.Ring[bool], out ...*ring.Ring[follow.Delta]) {
-		f := follow.New(follow.Options{
-			Feed: n.store, Table: table, Parts: parts, Wait: feedWait, Gap: gap, Out: out, Wanted: on, Log: part("follow"),
-		})
-		n.sup.Add(duty.Duty{Name: "follow-" + table, Run: f.Run})
+	follower := func(f follow.Options) {
+		f.Feed, f.Wait, f.Log = n.store, feedWait, part("follow")
+		n.sup.Add(duty.Duty{Name: "follow-" + f.Table, Run: follow.New(f).Run})
 	}
 	whole := []string{""}
 	if o.Lines != nil {
@@ -156,10 +155,14 @@
 		n.sup.Add(duty.Duty{Name: "fleet", Run: n.fleet.Run, Dump: n.fleet.Dump})
 	}
 	n.sup.Add(duty.Duty{Name: "board", Run: views.Run})
-	follower(operator.Table, operatorGap, whole, nil, views.In)
-	follower(store.TableControl, leaseGap, nil, nil, views.In)
-	follower(worker.Table, registrationGap, whole, wanted[worker.Table], n.pools.Deltas)
-	follower(store.TableWork, workGap, nil, wanted[store.TableWork], n.pools.Deltas)
+	toBoard, toPools := []*ring.Ring[follow.Delta]{views.In}, []*ring.Ring[follow.Delta]{n.pools.Deltas}
+	follower(follow.Options{Table: operator.Table, Gap: operatorGap, Parts: whole, Out: toBoard})
+	follower(follow.Options{Table: store.TableControl, Gap: leaseGap, Out: toBoard})
+	follower(follow.Options{Table: worker.Table, Gap: registrationGap, Parts: whole, Wanted: wanted[worker.Table], Out: toPools})
+	follower(follow.Options{Table: store.TableWork, Gap: workGap, Bare: true, Wanted: wanted[store.TableWork], Out: toPools})
+	if n.fleet != nil {
+		follower(follow.Options{Table: store.TableLoad, Gap: leaseGap, Wanted: loads, Out: []*ring.Ring[follow.Delta]{n.fleet.Loads}})
+	}
 	return n, nil
 }
 
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -86,8 +86,9 @@
 		for _, a := range actions {
 			events = append(events, r.answer(a)...)
 		}
-		b := r.m.Collect(100)
-		if len(b.Jobs) > 0 || b.NewWorkers || round == 0 {
+		news := r.m.HasNews()
+		b := r.m.Collect(100, true)
+		if len(b.Jobs) > 0 || news || round == 0 {
 			events = append(events, Stored{Batch: b, OK: true})
 		}
 		if len(events) == 0 {
@@ -227,7 +228,7 @@
 	w.end(r.starts[0].Task, r.starts[0].Attempt, EndFailed)
 	heard := append([]EndReport(nil), w.ended...)
 	r.m.Step(r.now, 0, HoldAnswered{Worker: w.Life, Sent: r.now, Report: HoldReport{Clock: 61000, Born: 1, Ended: heard}})
-	progress := r.m.Collect(10).Jobs["j1"]
+	progress := r.m.Collect(10, true).Jobs["j1"]
 
 	next := newRig(t, 2, []Engaged{{ID: "a", Born: 1}}, newWorker("a"))
 	next.workers["a"].ended, next.workers["a"].ends = heard, 1
--- a/engine/machine.go
+++ b/engine/machine.go
@@ -41,7 +41,7 @@
 	reserved       map[*worker]bool     // kept free for lasting tasks in this pass
 	former         map[string]time.Time // engaged workers of the former owner; when their leases lapse
 	short          int                  // thousandths of a core that waiting tasks lack
-	told           int                  // load in the stored lease row, thousandths of a core
+	told           int                  // load in the stored load row, thousandths of a core
 	changed        bool                 // placement may find something new to do
 	waitingSteps   int                  // in the last placement
 	placeAt        time.Time            // no placement before
--- a/engine/place.go
+++ b/engine/place.go
@@ -462,9 +462,9 @@
 	}
 }
 
-// waitingCount returns the number of jobs of each queue of which no task has
+// Waiting returns the number of jobs of each queue of which no task has
 // started.
-func (m *Machine) waitingCount() map[string]int {
+func (m *Machine) Waiting() map[string]int {
 	counts := map[string]int{}
 	for _, j := range m.order {
 		if j.state == workload.Queued && j.sub.Repeat.Count == 0 {
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -51,7 +51,7 @@
 	w.end(r.starts[0].Task, 1, EndDone)
 	r.now = r.now.Add(time.Second)
 	r.m.Step(r.now, 0, r.hold(Hold{Target: Target{Life: w.Life}}))
-	b := r.m.Collect(10)
+	b := r.m.Collect(10, true)
 	require.Equal(t, workload.Completed, b.Jobs["j1"].State)
 	seen := func() int {
 		r.now = r.now.Add(time.Second)
@@ -67,7 +67,7 @@
 	require.Equal(t, 0, seen())
 	r.m.Step(r.now, 0, Stored{Batch: b, OK: false})
 	require.Equal(t, 0, seen(), "the batch was not stored")
-	b = r.m.Collect(10)
+	b = r.m.Collect(10, true)
 	require.Contains(t, b.Jobs, "j1", "the job is stored again")
 	r.m.Step(r.now, 0, Stored{Batch: b, OK: true})
 	require.Equal(t, 1, seen())
@@ -324,13 +324,45 @@
 	require.Len(t, r.starts, 1)
 }
 
-// A worker that was released stayed in the lease row, and the next owner
-// waited for it.
-func TestReleasedWorkerLeavesTheLeaseRow(t *testing.T) {
+// A worker was used after a write that did not name it, so a successor would not
+// have waited for it.
+func TestWorkerIsUsedOnlyAfterTheLoadRowNamesIt(t *testing.T) {
+	a := newWorker("a")
+	r := newRig(t, 1, nil)
+	r.workers["a"] = a
+	r.m.Step(r.now, 0, r.listed(), testJob("j1", simpleStep(1)))
+	r.m.Step(r.now, 0, r.hold(Hold{Target: Target{Life: a.Life}}))
+	require.True(t, r.m.HasNews())
+	starts := func() (n int) {
+		for _, action := range r.m.Step(r.now, 0) {
+			if _, ok := action.(Start); ok {
+				n++
+			}
+		}
+		return n
+	}
+	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(10, false), OK: true})
+	require.Zero(t, starts())
+	r.now = r.now.Add(time.Second)
+	require.Len(t, r.m.Collect(10, true).Engaged, 1)
+	actions := r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(10, true), OK: true})
+	require.Condition(t, func() bool {
+		for _, action := range actions {
+			if _, ok := action.(Start); ok {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// A worker that was released stayed in the load row, and the next owner waited
+// for it.
+func TestReleasedWorkerLeavesTheLoadRow(t *testing.T) {
 	r := newRig(t, 1, nil, newWorker("a"), newWorker("b"))
-	require.Len(t, r.m.Collect(1).Engaged, 2)
+	require.Len(t, r.m.Collect(1, true).Engaged, 2)
 	r.step(ReleaseSeen{Machines: map[string]bool{"m-a": true}, Version: 3})
-	require.Equal(t, []Engaged{{ID: "b", Born: 1}}, r.m.Collect(1).Engaged)
+	require.Equal(t, []Engaged{{ID: "b", Born: 1}}, r.m.Collect(1, true).Engaged)
 	// Its last ends were never acknowledged, and its machine never released.
 	r.workers["a"].ends = 1
 	r.workers["a"].ended = []EndReport{{Number: 1, Task: workload.TaskID{Job: "j0"}, Attempt: 1, How: EndDone}}
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/workload"
@@ -208,15 +209,25 @@
 	}
 }
 
+// OpenQueues returns the queues of the jobs that have not ended.
+func (m *Machine) OpenQueues() []workload.Queue {
+	var list []workload.Queue
+	for _, j := range m.order {
+		q := &j.sub.Queue
+		if !j.state.Ended() && !slices.ContainsFunc(list, func(o workload.Queue) bool { return o.Host == q.Host && o.Prefix == q.Prefix }) {
+			list = append(list, *q)
+		}
+	}
+	return list
+}
+
 // Batch is what the machine wants stored in one transaction.
 type Batch struct {
 	Jobs    map[string]workload.Progress
-	Engaged []Engaged // all workers that may get or have runs
-	// NewWorkers: Engaged has workers that the stored lease row does not have.
-	NewWorkers bool
-	ends       map[workload.Life]int
-	engaged    map[string]int64
-	jobs       []*job
+	Engaged []Engaged // all workers that may get or have runs, for the load row
+	ends    map[workload.Life]int
+	engaged map[string]int64
+	jobs    []*job
 }
 
 // Urgent reports whether Collect has the end of a job, which callers wait for.
@@ -229,14 +240,10 @@
 	return false
 }
 
-// HasNews reports whether the lease row should be written at once: for a new
-// worker that can't be used before, a released machine, or a load that has
-// grown.
+// HasNews reports whether the load row should be written at once: for a new
+// worker that can't be used before, or a released machine.
 func (m *Machine) HasNews() bool {
-	if m.load() > m.told+loadStep {
-		return true
-	}
-	for _, w := range m.workers {
+	for _, w := range m.list {
 		if w.engages(m) && !w.engaged || m.released(w) && !w.reported {
 			return true
 		}
@@ -244,6 +251,10 @@
 	return false
 }
 
+// LoadGrown reports whether the load has grown so much that the fleet's owner
+// should be told before the next renewal.
+func (m *Machine) LoadGrown() bool { return m.load() > m.told+loadStep }
+
 // loadStep is by how much the load has to grow to be told at once, in
 // thousandths of a core. It is a part of a typical machine.
 const loadStep = 8000
@@ -251,7 +262,7 @@
 // load returns what the pool's tasks use and lack, in thousandths of a core.
 func (m *Machine) load() int {
 	load := m.short
-	for _, w := range m.workers {
+	for _, w := range m.list {
 		load += w.taken.MilliCores
 	}
 	return load
@@ -267,10 +278,10 @@
 	return false
 }
 
-// Collect returns what is to be stored, with at most limit jobs. At most one
-// batch is under way.
-func (m *Machine) Collect(limit int) *Batch {
-	b := &Batch{Jobs: map[string]workload.Progress{}, ends: map[workload.Life]int{}, engaged: map[string]int64{}}
+// Collect returns what is to be stored, with at most limit jobs. withLoad says
+// that the load row is written too. At most one batch is under way.
+func (m *Machine) Collect(limit int, withLoad bool) *Batch {
+	b := &Batch{Jobs: map[string]workload.Progress{}, ends: make(map[workload.Life]int, len(m.list))}
 	whole := true
 	for _, j := range m.order {
 		if !j.dirty {
@@ -285,14 +296,27 @@
 		j.dirty, j.flushing = false, true
 	}
 	for _, w := range m.list {
+		if whole {
+			b.ends[w.Life] = w.seen
+		}
+	}
+	if withLoad {
+		m.collectEngaged(b)
+	}
+	return b
+}
+
+// collectEngaged lists the workers that may have runs of this owner or of the
+// former one.
+func (m *Machine) collectEngaged(b *Batch) {
+	b.engaged = make(map[string]int64, len(m.list))
+	m.told = m.load()
+	for _, w := range m.list {
+		w.reported = m.released(w)
 		w.engaged = w.engaged && w.engages(m)
 		if w.engages(m) {
 			b.Engaged = append(b.Engaged, Engaged{ID: w.ID, Born: w.Born})
 			b.engaged[w.ID] = w.Born
-			b.NewWorkers = b.NewWorkers || !w.engaged
-		}
-		if whole {
-			b.ends[w.Life] = w.seen
 		}
 	}
 	for id := range m.former {
@@ -300,7 +324,6 @@
 			b.Engaged = append(b.Engaged, Engaged{ID: id})
 		}
 	}
-	return b
 }
 
 func (m *Machine) stored(e Stored) {
@@ -325,8 +348,7 @@
 
 // Status is what the owner tells the fleet's owner and the callers' side.
 type Status struct {
-	Waiting  map[string]int  `json:"waiting,omitempty"` // jobs of a queue of which no task has started
-	Short    int             `json:"short,omitempty"`   // thousandths of a core that waiting tasks lack
+	Short    int             `json:"short,omitempty"` // thousandths of a core that waiting tasks lack
 	Machines []MachineStatus `json:"machines,omitempty"`
 	Release  uint64          `json:"release,omitempty"` // version of the fleet's row that Released answers
 	// PerMachine is the greatest capacity of a machine, in thousandths of a core.
@@ -352,8 +374,7 @@
 
 // Status returns the present state.
 func (m *Machine) Status(now time.Time) Status {
-	s := Status{Waiting: m.waitingCount(), Release: m.releaseVersion}
-	s.Short, m.told = m.short, m.load()
+	s := Status{Release: m.releaseVersion, Short: m.short}
 	for _, w := range m.list {
 		if !w.listed || w.gone {
 			continue
@@ -364,7 +385,6 @@
 			Usable:   m.usable(now, w),
 			Released: m.released(w),
 		})
-		w.reported = m.released(w)
 	}
 	return s
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -44,7 +44,7 @@
 	listed   bool
 	gone     bool // this life has ended
 	synced   bool // has answered a hold with this owner's token
-	engaged  bool // its id is in the stored lease row
+	engaged  bool // its id is in the stored load row
 	runs     []*run
 	taken    placement.Size // by the runs
 	clock    int64          // worker's clock in ms, as of clockAt
@@ -66,7 +66,7 @@
 	out        time.Time // end of the quarantine
 }
 
-// engages reports whether the worker belongs into the lease row: it has runs,
+// engages reports whether the worker belongs into the load row: it has runs,
 // or may get some. A successor waits for the workers of the row, so one that
 // left without work must not stay there.
 func (w *worker) engages(m *Machine) bool {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -70,6 +70,8 @@
 	Number   uint64
 	Op       Op
 	Job      string
+	Host     string              // of the queue that the job came through
+	Prefix   string              // likewise
 	Pool     string              // for ReadProgress
 	Work     workload.Submission // for Insert
 	NotSoon  time.Duration       // wait before the call
@@ -230,6 +232,7 @@
 
 func (m *Machine) call(p *pending, c Call) {
 	c.Number, c.Job, c.Pool, c.Deadline = p.Number, p.job, p.pool, p.deadline
+	c.Host, c.Prefix = p.queue.Host, p.queue.Prefix
 	if c.Op == Insert {
 		c.Work = p.Submission
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -12,12 +12,15 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/duty"
+	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/fleet"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/ring"
+	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/workload"
@@ -26,6 +29,7 @@
 // Bounds of the duty.
 const (
 	resultDepth = 256
+	loadDepth   = 16
 	calls       = 32 // at the same time
 	// idleWake is the longest time between two steps.
 	idleWake = 250 * time.Millisecond
@@ -53,6 +57,7 @@
 	Processor  float64 // part of a core that the VM has
 	Table      store.Table
 	Service    Service
+	Wanted     *ring.Ring[bool]                     // turns the follower of the load rows on
 	Refusal    func(err error) (fleet.Result, bool) // translates the service's own refusals
 	WaveStatus func(wave int, done bool) store.Op
 	Log        hclog.Logger
@@ -63,16 +68,19 @@
 type Duty struct {
 	Options
 	Views   *ring.Ring[*board.View]
-	Release *ring.Ring[struct{}] // gives the fleet up
+	Loads   *ring.Ring[follow.Delta] // of the load rows
+	Release *ring.Ring[struct{}]     // gives the fleet up
 	asker   *duty.Asker
 	results *ring.Ring[any]
 	pond    pond.Pool
 	holder  *holder.Holder
 	view    *board.View
+	loads   map[string]engine.Status // by pool
 	machine *fleet.Machine
 	events  []fleet.Event
 	asked   []string // machines in the row that is being written
 	leaving bool
+	follows bool // the load rows are followed
 }
 
 // New returns the duty.
@@ -80,11 +88,13 @@
 	return &Duty{
 		Options: o,
 		Views:   ring.New[*board.View]("fleet-views", 1, ring.KeepNewest),
+		Loads:   ring.New[follow.Delta]("fleet-loads", loadDepth, ring.Wait),
 		Release: ring.New[struct{}]("fleet-release", 1, ring.Refuse),
 		asker:   duty.NewAsker("fleet"),
 		results: ring.New[any]("fleet-results", resultDepth, ring.Wait),
 		pond:    pond.NewPool(calls),
 		holder:  holder.New(store.ControlFleet, o.Self, o.Processor, o.Log),
+		loads:   map[string]engine.Status{},
 	}
 }
 
@@ -99,6 +109,8 @@
 			return ctx.Err()
 		case v := <-d.Views.C():
 			d.see(v)
+		case delta := <-d.Loads.C():
+			d.takeLoads(delta)
 		case <-d.Release.C():
 			d.leaving = true
 		case r := <-d.results.C():
@@ -146,6 +158,47 @@
 	}
 }
 
+// takeLoads takes in a reading of the load rows.
+func (d *Duty) takeLoads(delta follow.Delta) {
+	if delta.Failing {
+		return // the lease rows tell how old the statuses may be
+	}
+	if delta.Reset {
+		clear(d.loads)
+	}
+	for _, c := range delta.Changes {
+		name := store.LoadName(c.Key)
+		if c.Removed {
+			delete(d.loads, name)
+			continue
+		}
+		load, err := rows.DecodeLoad(c.Value)
+		if err != nil {
+			d.Log.Warn("load row can't be read", "row", c.Key, "error", err)
+			continue
+		}
+		d.loads[name] = load.Status
+	}
+	if d.machine != nil {
+		d.inform()
+	}
+}
+
+// follow turns the follower of the load rows on while the lease is held.
+func (d *Duty) follow(ctx context.Context) {
+	on := d.holder.State == holder.Held
+	if on == d.follows {
+		return
+	}
+	d.follows = on
+	if !on {
+		clear(d.loads)
+	}
+	if err := d.Wanted.Put(ctx, on); err != nil {
+		d.Log.Warn("a follower was not told", "table", store.TableLoad, "error", err)
+	}
+}
+
 func (d *Duty) forget() { d.machine, d.events = nil, nil }
 
 // inform tells the machine what the view says.
@@ -154,8 +207,9 @@
 	if c := d.view.Configuration; c != nil {
 		for _, o := range c.Pools {
 			l, ok := d.view.Leases[o.Name]
-			owned := ok && l.Holder != "" && d.view.LeasesRead.Sub(l.Since) < l.Duration
-			pools[o.Name] = fleet.Pool{Standby: o.Standby, Owned: owned, Status: l.Status}
+			status, told := d.loads[o.Name]
+			owned := ok && told && l.Holder != "" && d.view.LeasesRead.Sub(l.Since) < l.Duration
+			pools[o.Name] = fleet.Pool{Standby: o.Standby, Owned: owned, Status: status}
 		}
 	}
 	waves := map[int]fleet.WaveSeen{}
@@ -194,6 +248,7 @@
 // work does what is due and returns the time until the next pass.
 func (d *Duty) work(ctx context.Context) time.Duration {
 	now := steady.Now()
+	d.follow(ctx)
 	if !d.leaving && d.holder.ClaimDue(now, d.view, claimWait) {
 		d.commit(ctx, d.holder.Claim(now, d.view))
 	}
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -18,7 +18,7 @@
 // Delta is what one reading brought.
 type Delta struct {
 	Table   string
-	Reset   bool // Changes are all rows of the table; others are gone
+	Reset   bool // Changes are all rows of the table; others are gone. See Options.Bare
 	Changes []store.Change
 	Sent    time.Time // steady time before the reading was sent
 	Failing bool      // the reading failed; nothing else is set
@@ -28,10 +28,13 @@
 type Options struct {
 	Feed  store.Feed
 	Table string
-	Parts []string      // nil: all parts
-	Wait  time.Duration // the platform holds a reading without changes this long
-	Gap   time.Duration // between readings, so that changes share one
-	Out   []*ring.Ring[Delta]
+	Parts []string // nil: all parts
+	// Bare readings of the whole table bring no rows: a Reset only says that
+	// changes were missed, and the receiver reads what concerns it.
+	Bare bool
+	Wait time.Duration // the platform holds a reading without changes this long
+	Gap  time.Duration // between readings, so that changes share one
+	Out  []*ring.Ring[Delta]
 	// Wanted turns the following on and off; nil: always on.
 	Wanted *ring.Ring[bool]
 	Log    hclog.Logger
@@ -64,13 +67,14 @@
 		if f.Wanted != nil {
 			select {
 			case on = <-f.Wanted.C():
+				f.known = false // off and on again may come as one
 			default:
 			}
 		}
 		if !on {
-			f.known = false
 			select {
 			case on = <-f.Wanted.C():
+				f.known = false
 			case <-ctx.Done():
 			}
 			continue
@@ -124,6 +128,10 @@
 func (f *Follower) snapshot(ctx context.Context) ([]store.Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	if f.Bare {
+		after, err := f.Feed.Position(ctx, f.Table)
+		return nil, after, err
+	}
 	rows, after, err := f.Feed.Snapshot(ctx, f.Table, f.Parts...)
 	if err != nil {
 		return nil, 0, err
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -91,9 +91,13 @@
 // strong VMs.
 const weakness = 250 * time.Millisecond
 
-// handicap returns how much longer this VM waits with a claim.
+// handicap returns how much longer this VM waits with a claim. Before there is
+// any holder it is compared with a VM that has a whole core.
 func (h *Holder) handicap(v *board.View) time.Duration {
 	strongest := h.share
+	if len(v.Leases) == 0 {
+		strongest = max(strongest, 1)
+	}
 	for _, l := range v.Leases {
 		strongest = max(strongest, l.Share)
 	}
@@ -182,7 +186,8 @@
 	if h.State != Idle || h.writing || v == nil || v.LeasesRead.IsZero() || now.Before(h.retryAt) {
 		return false
 	}
-	wait += h.jitter + h.handicap(v)
+	handicap := h.handicap(v)
+	wait += h.jitter + handicap
 	seen, ok := v.Leases[h.Name]
 	if !ok {
 		if h.absent.IsZero() {
@@ -197,8 +202,10 @@
 		return silent >= wait
 	case h.self:
 		// An earlier process of this name, which has ended, or this one, which
-		// has given the lease up.
-		return true
+		// has given the lease up. A weak VM leaves it to a stronger one.
+		if handicap == 0 {
+			return true
+		}
 	}
 	return silent >= seen.Duration+wait
 }
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -174,3 +174,29 @@
 	v = tab.view(start, silent+3*weakness)
 	require.True(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(start, v, 0))
 }
+
+// After a loss of power of all VMs a weak one took the lease that it had back at
+// once, and could not carry the pool. Nor may it be the first to claim one.
+func TestWeakVMLeavesItsFormerLease(t *testing.T) {
+	tab := newTable()
+	weak, strong := New("p", "weak", 0.2, hclog.NewNullLogger()), New("p", "strong", 0.8, hclog.NewNullLogger())
+	first := func(h *Holder) bool {
+		v := tab.view(start, 0)
+		h.ClaimDue(start, v, 0)
+		return h.ClaimDue(start.Add(firstWait+claimSpread+weakness), v, 0)
+	}
+	require.False(t, first(weak))
+	require.True(t, first(strong))
+
+	require.Equal(t, Acquired, claim(t, strong, tab, start, 0))
+	row := tab.rows[store.KeyControl("p")]
+	c, err := rows.DecodeControl(row.Value)
+	require.NoError(t, err)
+	c.Holder = "weak" // as its earlier process wrote it; the share is that of another lease
+	row.Value, err = rows.EncodeControl(c)
+	require.NoError(t, err)
+	tab.rows[row.Key] = row
+	now := start.Add(10 * time.Second)
+	require.False(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseTime+claimSpread), 0))
+	require.True(t, New("p", "strong", 0.8, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseTime+claimSpread), 0))
+}
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -138,7 +138,7 @@
 	}
 	counts := map[string]int{}
 	for _, l := range v.Leases {
-		for queue, n := range l.Status.Waiting {
+		for queue, n := range l.Waiting {
 			counts[queue] += n
 		}
 	}
@@ -188,15 +188,16 @@
 
 func (d *Duty) call(ctx context.Context, c intake.Call) intake.Answer {
 	a := intake.Answer{Number: c.Number, Op: c.Op}
+	queue := store.WorkQueue(c.Host, c.Prefix)
 	var err error
 	switch c.Op {
 	case intake.Insert:
-		err = d.insert(ctx, c, &a)
+		err = d.insert(ctx, store.KeyWork(queue, c.Job), c, &a)
 	case intake.PutCancel:
-		_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(c.Job), Value: []byte("{}")}})
+		_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(queue, c.Job), Value: []byte("{}")}})
 	case intake.ReadWork:
 		var row store.Row
-		if row, err = d.Table.Get(ctx, store.KeyWork(c.Job)); err == nil {
+		if row, err = d.Table.Get(ctx, store.KeyWork(queue, c.Job)); err == nil {
 			a.Work, err = rows.DecodeWork(row.Value)
 		}
 	case intake.ReadProgress:
@@ -218,12 +219,12 @@
 	return a
 }
 
-func (d *Duty) insert(ctx context.Context, c intake.Call, a *intake.Answer) error {
+func (d *Duty) insert(ctx context.Context, key string, c intake.Call, a *intake.Answer) error {
 	value, err := rows.EncodeWork(c.Work)
 	if err != nil {
 		return err
 	}
-	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: store.KeyWork(c.Job), Value: value}})
+	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: key, Value: value}})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -1,7 +1,9 @@
 package pools
 
 import (
+	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
@@ -9,6 +11,7 @@
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // Calls to workers.
@@ -31,7 +34,7 @@
 	if p.State != holder.Held {
 		return wake
 	}
-	if p.machine == nil && !p.loading && !now.Before(p.loadAt) {
+	if (p.machine == nil || p.missed) && d.followed && !p.loading && !now.Before(p.loadAt) {
 		d.load(ctx, p)
 	}
 	if p.machine != nil && p.ValidWithin(now, operateBeyond) {
@@ -53,7 +56,7 @@
 	if !p.Valid(now) {
 		events, p.events = withoutNewJobs(events)
 	}
-	p.machine.Pause(!d.knowsCancellations(now))
+	p.machine.Pause(!d.knowsCancellations(now, p))
 	for _, a := range p.machine.Step(now, time.Now().UnixMilli(), events...) {
 		d.carryOut(ctx, p, a)
 		if p.machine == nil {
@@ -66,11 +69,11 @@
 // time between the check and the start.
 const cancelMargin = 400 * time.Millisecond
 
-// knowsCancellations reports whether the work table was read recently enough
-// to start tasks: of a job that was cancelled since, none may start later than
+// knowsCancellations reports whether a pool's jobs were read recently enough to
+// start tasks: of a job that was cancelled since, none may start later than
 // the bound.
-func (d *Duty) knowsCancellations(now time.Time) bool {
-	return d.Bounds.CancelWithin == 0 || now.Sub(d.workRead) < d.Bounds.CancelWithin-cancelMargin
+func (d *Duty) knowsCancellations(now time.Time, p *pool) bool {
+	return d.Bounds.CancelWithin == 0 || now.Sub(p.read) < d.Bounds.CancelWithin-cancelMargin
 }
 
 // withoutNewJobs takes jobs that are new out of the events, with their
@@ -175,28 +178,28 @@
 	})
 }
 
-// write stores what is due: the lease's renewal, and with it the progress of
-// jobs. It returns when it wants to be called again.
+// write stores what is due: the lease's renewal, what the pool's workers do, and
+// the progress of jobs. It returns when it wants to be called again.
 func (d *Duty) write(ctx context.Context, now time.Time, p *pool) time.Time {
 	if p.Writing() {
 		return now.Add(idleWake)
 	}
-	renewAt, appendAt := d.writeTimes(now, p)
-	if at := minTime(renewAt, appendAt); now.Before(at) {
+	renewAt, loadAt, appendAt := d.writeTimes(now, p)
+	if at := minTime(renewAt, minTime(loadAt, appendAt)); now.Before(at) {
 		return at
 	}
+	renews := !now.Before(renewAt)
 	var more []store.Op
 	if p.machine != nil {
-		p.batch = p.machine.Collect(flushJobs)
-		more = d.encode(p)
+		more = d.collect(now, p, renews || !now.Before(loadAt))
 	}
-	if now.Before(renewAt) && !p.batch.NewWorkers {
+	if !renews {
 		d.commit(ctx, p, p.Append(now, more))
 		return now.Add(idleWake)
 	}
 	c := p.Control
 	if p.machine != nil {
-		c.Engaged, c.Status = p.batch.Engaged, p.machine.Status(now)
+		c.Waiting, c.Queues = p.machine.Waiting(), workQueues(p.machine.OpenQueues())
 	}
 	w := p.Renew(now, c, d.leaving)
 	w.More = more
@@ -204,15 +207,32 @@
 	return now.Add(idleWake)
 }
 
-// writeTimes returns when the lease row and when progress is to be written.
-func (d *Duty) writeTimes(now time.Time, p *pool) (renewAt, appendAt time.Time) {
-	appendAt = now.Add(idleWake)
+// workQueues returns the names of queues in the parts of the work table.
+func workQueues(queues []workload.Queue) []string {
+	names := make([]string, len(queues))
+	for i, q := range queues {
+		names[i] = store.WorkQueue(q.Host, q.Prefix)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// writeTimes returns when the lease row, the load row and progress are to be
+// written.
+func (d *Duty) writeTimes(now time.Time, p *pool) (renewAt, loadAt, appendAt time.Time) {
+	loadAt, appendAt = now.Add(idleWake), now.Add(idleWake)
+	if d.leaving {
+		return p.RenewAt(flushGap), loadAt, appendAt
+	}
+	renewAt = p.RenewAt(0)
 	if p.machine == nil {
-		return p.RenewAt(0), appendAt
+		return renewAt, loadAt, appendAt
 	}
-	news := time.Duration(0)
-	if d.leaving || p.machine.HasNews() {
-		news = flushGap
+	switch {
+	case p.machine.HasNews():
+		loadAt = p.AppendAt(flushGap)
+	case p.machine.LoadGrown():
+		loadAt = p.AppendAt(loadGap)
 	}
 	switch {
 	case p.machine.Urgent():
@@ -220,7 +240,26 @@
 	case p.machine.Dirty():
 		appendAt = p.AppendAt(lazyFlushGap)
 	}
-	return p.RenewAt(news), appendAt
+	return renewAt, loadAt, appendAt
+}
+
+// collect returns the rows that the machine wants stored, with the load row if
+// that is due and has changed.
+func (d *Duty) collect(now time.Time, p *pool, withLoad bool) []store.Op {
+	p.batch = p.machine.Collect(flushJobs, withLoad)
+	ops := d.encode(p)
+	if !withLoad {
+		return ops
+	}
+	value, err := rows.EncodeLoad(rows.Load{Engaged: p.batch.Engaged, Status: p.machine.Status(now)})
+	switch {
+	case err != nil:
+		d.Log.Error("load can't be encoded", "pool", p.Name, "error", err)
+	case !bytes.Equal(value, p.load):
+		p.writes = value
+		ops = append(ops, store.Op{Kind: store.OpPut, Key: store.KeyLoad(p.Name), Value: value})
+	}
+	return ops
 }
 
 func (d *Duty) encode(p *pool) []store.Op {
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
@@ -20,8 +23,13 @@
 	events        []engine.Event // not yet taken in
 	early         []store.Change // arrived while the jobs were being read
 	loading       bool
-	loadAt        time.Time     // of the next try to read the jobs
-	batch         *engine.Batch // being stored
+	loadAt        time.Time       // of the next try to read the jobs
+	batch         *engine.Batch   // being stored
+	load          []byte          // load row as last stored
+	writes        []byte          // load row that is being stored; nil: it is not part of the write
+	queues        map[string]bool // store.WorkQueue of those that ever led to the pool
+	read          time.Time       // sending of the newest complete reading of the pool's jobs
+	missed        bool            // changes of the work table were missed
 }
 
 // add queues an event for the machine. Without one, its creation tells it all.
@@ -33,7 +41,7 @@
 
 // forget drops what belongs to a term that has ended.
 func (p *pool) forget() {
-	p.machine, p.events, p.early, p.batch = nil, nil, nil, nil
+	p.machine, p.events, p.early, p.batch, p.load, p.writes = nil, nil, nil, nil, nil, nil
 }
 
 // Results of calls, posted by the pool workers.
@@ -48,6 +56,7 @@
 		token uint64
 		work  []store.Row
 		marks []store.Row
+		load  rows.Load // of the former owner
 		err   error
 	}
 	answered struct {
@@ -86,13 +95,16 @@
 
 func (d *Duty) takeWrite(r written) {
 	p := d.pools[r.pool]
-	batch := p.batch
-	p.batch = nil
+	batch, writes := p.batch, p.writes
+	p.batch, p.writes = nil, nil
 	switch p.Take(d.now(), r.result) {
 	case holder.Acquired:
 		p.forget()
 		p.loadAt = time.Time{}
 	case holder.Stored:
+		if writes != nil {
+			p.load = writes
+		}
 		if batch != nil {
 			p.add(engine.Stored{Batch: batch, OK: true})
 		}
@@ -105,20 +117,49 @@
 	}
 }
 
-// load reads the jobs of a pool that has been taken over.
+// load reads the jobs of a pool that has been taken over, or of which changes
+// were missed.
 func (d *Duty) load(ctx context.Context, p *pool) {
 	r := loaded{pool: p.Name, sent: d.now(), token: p.Control.Token}
-	p.loading = true
+	p.loading, p.missed = true, false
+	queues := maps.Clone(p.queues)
+	for _, q := range p.Former.Queues {
+		queues[q] = true
+	}
 	d.stores.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
-		if r.work, _, r.err = d.Feed.Snapshot(callCtx, store.TableWork); r.err == nil {
-			r.marks, r.err = store.ScanAll(callCtx, d.Table, store.PrefixProgress(r.pool))
-		}
+		r.err = d.read(callCtx, &r, queues)
 		d.post(ctx, r)
 	})
 }
 
+// read reads the rows that a new owner of a pool needs. It runs in the pool of
+// store calls.
+func (d *Duty) read(ctx context.Context, r *loaded, queues map[string]bool) error {
+	parts, err := d.Feed.Parts(ctx, store.TableWork)
+	if err != nil {
+		return err
+	}
+	parts = slices.DeleteFunc(parts, func(part string) bool { return !queues[store.QueueOfPart(part)] })
+	if len(parts) > 0 {
+		if r.work, _, err = d.Feed.Snapshot(ctx, store.TableWork, parts...); err != nil {
+			return err
+		}
+	}
+	if r.marks, err = store.ScanAll(ctx, d.Table, store.PrefixProgress(r.pool)); err != nil {
+		return err
+	}
+	row, err := d.Table.Get(ctx, store.KeyLoad(r.pool))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil // the first owner
+	}
+	if err == nil {
+		r.load, err = rows.DecodeLoad(row.Value)
+	}
+	return err
+}
+
 func (d *Duty) takeLoad(r loaded) {
 	p := d.pools[r.pool]
 	p.loading = false
@@ -127,15 +168,28 @@
 	}
 	if r.err != nil {
 		d.Log.Warn("jobs of the pool can't be read", "pool", p.Name, "error", r.err)
-		p.loadAt = d.now().Add(loadRetry)
+		p.loadAt, p.missed = d.now().Add(loadRetry), p.machine != nil
+		return
+	}
+	p.read = maxTime(p.read, r.sent)
+	if p.machine != nil {
+		d.Log.Info("jobs are read again", "pool", p.Name, "jobs", d.takeJobs(p, r))
 		return
 	}
-	d.workRead = maxTime(d.workRead, r.sent)
 	p.machine = engine.New(d.now(), engine.Config{
 		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.Bounds.MaxLease + operateBeyond,
 		KillGrace: d.Bounds.KillGrace,
-	}, p.Former.Engaged)
+	}, r.load.Engaged)
 	p.add(engine.QueuesSeen{Queues: p.configuration.Queues})
+	jobs := d.takeJobs(p, r)
+	p.add(engine.WorkersSeen{Workers: d.registry.pool(p.Name)})
+	p.add(d.released())
+	d.Log.Info("pool is active", "pool", p.Name, "jobs", jobs, "former_workers", len(r.load.Engaged))
+}
+
+// takeJobs tells the machine of the jobs that were read, and returns how many
+// these are.
+func (d *Duty) takeJobs(p *pool, r loaded) int {
 	marks := map[string]*workload.Progress{}
 	for _, row := range r.marks {
 		progress, err := rows.DecodeProgress(row.Value)
@@ -153,9 +207,7 @@
 		d.takeWork(p, c, marks)
 	}
 	p.early = nil
-	p.add(engine.WorkersSeen{Workers: d.registry.pool(p.Name)})
-	p.add(d.released())
-	d.Log.Info("pool is active", "pool", p.Name, "jobs", jobs, "former_workers", len(p.Former.Engaged))
+	return jobs
 }
 
 // takeWork tells the machine of a row of the work table. It returns 1 for a
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -47,8 +47,12 @@
 	lazyFlushGap = 300 * time.Millisecond
 	// flushJobs bounds the jobs in one transaction: the platform takes 100 rows.
 	flushJobs = 80
-	// loadTimeout bounds the reading of a pool's jobs by its new owner.
-	loadTimeout = 4 * time.Second
+	// loadGap is the time between writes of a load that grows. The fleet's owner
+	// reads these rows every 120 ms.
+	loadGap = 100 * time.Millisecond
+	// loadTimeout bounds the reading of a pool's jobs by its new owner: some
+	// thousand jobs over a link of 10 Mbit/s that has other work too.
+	loadTimeout = 10 * time.Second
 	loadRetry   = 300 * time.Millisecond
 )
 
@@ -96,7 +100,7 @@
 	pools     map[string]*pool
 	names     []string
 	registry  registry
-	workRead  time.Time // sending of the newest complete reading of the work table
+	followed  bool // the work table is followed, so that a reading of a pool's jobs misses nothing
 	clients   map[client]Worker
 	leaving   bool
 	following bool
@@ -165,8 +169,11 @@
 		p := d.pools[name]
 		list = append(list, Report{
 			Pool: name, Held: p.Valid(d.now()), Active: p.machine != nil, Token: p.Control.Token,
-			Version: p.Version(), Status: p.Control.Status,
+			Version: p.Version(),
 		})
+		if p.machine != nil {
+			list[len(list)-1].Status = p.machine.Status(d.now())
+		}
 	}
 	return list
 }
@@ -216,6 +223,7 @@
 		return
 	}
 	d.following = on
+	d.followed = false
 	if !on {
 		d.registry = newRegistry()
 	}
@@ -233,7 +241,7 @@
 	}
 	for _, o := range v.Configuration.Pools {
 		if d.pools[o.Name] == nil {
-			d.pools[o.Name] = &pool{Holder: holder.New(o.Name, d.Self, d.Processor, d.Log)}
+			d.pools[o.Name] = &pool{Holder: holder.New(o.Name, d.Self, d.Processor, d.Log), queues: map[string]bool{}}
 			d.names = append(d.names, o.Name)
 		}
 	}
@@ -246,6 +254,11 @@
 		}
 		if p.configuration != v.Configuration {
 			p.configuration = v.Configuration
+			for _, q := range v.Configuration.Queues {
+				if q.Pool == name {
+					p.queues[store.WorkQueue(q.Host, q.Prefix)] = true
+				}
+			}
 			p.add(engine.QueuesSeen{Queues: v.Configuration.Queues})
 		}
 		p.add(d.released())
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -1,6 +1,9 @@
 package pools
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,7 +12,9 @@
 
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/node/follow"
+	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/platform/worker"
+	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -45,11 +50,100 @@
 func TestOwnerThatCannotReadCancellationsStartsNothing(t *testing.T) {
 	d := newDuty()
 	d.Bounds.CancelWithin = 3 * time.Second
+	p := d.addPool("p")
 	now := time.Unix(1000, 0)
 	d.takeDelta(follow.Delta{Table: store.TableWork, Sent: now})
 	d.takeDelta(follow.Delta{Table: store.TableWork, Failing: true})
-	require.True(t, d.knowsCancellations(now.Add(2500*time.Millisecond)))
-	require.False(t, d.knowsCancellations(now.Add(2700*time.Millisecond)))
+	require.True(t, d.knowsCancellations(now.Add(2500*time.Millisecond), p))
+	require.False(t, d.knowsCancellations(now.Add(2700*time.Millisecond), p))
+	// After changes were missed, only a reading of the pool's jobs helps.
+	d.takeDelta(follow.Delta{Table: store.TableWork, Reset: true, Sent: now.Add(3 * time.Second)})
+	d.takeDelta(follow.Delta{Table: store.TableWork, Sent: now.Add(3 * time.Second)})
+	require.False(t, d.knowsCancellations(now.Add(3*time.Second), p))
+}
+
+func (d *Duty) addPool(name string) *pool {
+	p := &pool{Holder: holder.New(name, d.Self, 1, d.Log), queues: map[string]bool{}, configuration: &workload.Configuration{}}
+	d.pools[name] = p
+	d.names = append(d.names, name)
+	return p
+}
+
+// fakeStore has a table that counts the parts that are read.
+type fakeStore struct {
+	store.Table
+	store.Feed
+	rows map[string][]store.Row // by part of the work table
+	read []string
+}
+
+func (f *fakeStore) Parts(context.Context, string) ([]string, error) {
+	return slices.Sorted(maps.Keys(f.rows)), nil
+}
+
+func (f *fakeStore) Snapshot(_ context.Context, _ string, parts ...string) (list []store.Row, _ uint64, _ error) {
+	for _, part := range parts {
+		f.read = append(f.read, part)
+		list = append(list, f.rows[part]...)
+	}
+	return list, 7, nil
+}
+
+func (f *fakeStore) Scan(context.Context, string, string, int) ([]store.Row, error) { return nil, nil }
+
+func (f *fakeStore) Get(_ context.Context, key string) (store.Row, error) {
+	if key != store.KeyLoad("p") {
+		return store.Row{}, store.ErrNotFound
+	}
+	value, err := rows.EncodeLoad(rows.Load{Engaged: []engine.Engaged{{ID: "i-1", Born: 5}}})
+	return store.Row{Key: key, Value: value}, err
+}
+
+// After a loss of power a VM with a link of 10 Mbit/s took a pool over and tried
+// for 15 s to read the jobs of all pools, each time until its time was up.
+func TestOwnerReadsOnlyTheQueuesOfItsPool(t *testing.T) {
+	own, former, other := store.WorkQueue("h", "/a/"), store.WorkQueue("h", "/removed/"), store.WorkQueue("h", "/b/")
+	f := &fakeStore{rows: map[string][]store.Row{own + "-0": nil, own + "-3": nil, former + "-1": nil, other + "-0": nil}}
+	d := newDuty()
+	d.Table, d.Feed = f, f
+	p := d.addPool("p")
+	p.queues[own] = true
+	p.Former.Queues = []string{former} // of jobs that are open, though the queue is gone
+	d.load(context.Background(), p)
+	r := (<-d.results.C()).(loaded)
+	require.NoError(t, r.err)
+	require.ElementsMatch(t, []string{own + "-0", own + "-3", former + "-1"}, f.read)
+	require.Equal(t, []engine.Engaged{{ID: "i-1", Born: 5}}, r.load.Engaged)
+}
+
+// Changes that the store has forgotten included cancellations; jobs are read
+// again, and changes that arrive meanwhile are not lost.
+func TestMissedChangesAreReadAgain(t *testing.T) {
+	queue := workload.Queue{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}
+	value, err := rows.EncodeWork(workload.Submission{
+		ID: "00000000000000a1", Pool: "p", Queue: queue, Steps: []workload.Step{{Count: 1}},
+	})
+	require.NoError(t, err)
+	name := store.WorkQueue("h", "/a/")
+	job := store.Row{Key: store.KeyWork(name, "00000000000000a1"), Value: value, Version: 3}
+	f := &fakeStore{rows: map[string][]store.Row{name + "-0": {job}}}
+	d := newDuty()
+	d.Table, d.Feed = f, f
+	p := d.addPool("p")
+	p.queues[name] = true
+	p.State = holder.Held
+	p.machine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	d.takeDelta(follow.Delta{Table: store.TableWork, Reset: true, Sent: d.now()})
+	require.True(t, p.missed)
+	d.drive(context.Background(), d.now(), p)
+	require.True(t, p.loading)
+	cancel := store.Change{Row: store.Row{Key: store.KeyWorkCancel(name, "00000000000000a1"), Version: 9}}
+	d.takeDelta(follow.Delta{Table: store.TableWork, Changes: []store.Change{cancel}, Sent: d.now()})
+	d.takeResult(<-d.results.C())
+	require.False(t, p.missed)
+	require.Len(t, p.events, 2)
+	require.Equal(t, "00000000000000a1", p.events[0].(engine.JobSeen).Submission.ID)
+	require.Equal(t, engine.CancelSeen{Job: "00000000000000a1"}, p.events[1])
 }
 
 func registration(id, pool string) store.Change {
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -54,12 +54,7 @@
 // takeDelta takes in a reading of the registrations or of the work table.
 func (d *Duty) takeDelta(delta follow.Delta) {
 	if delta.Table == store.TableWork {
-		if !delta.Failing {
-			d.workRead = maxTime(d.workRead, delta.Sent)
-		}
-		for _, c := range delta.Changes {
-			d.takeChange(c)
-		}
+		d.takeWorkDelta(delta)
 		return
 	}
 	now := d.now()
@@ -78,11 +73,29 @@
 	}
 }
 
+// takeWorkDelta takes in a reading of the work table's changes.
+func (d *Duty) takeWorkDelta(delta follow.Delta) {
+	if delta.Failing {
+		return
+	}
+	d.followed = d.followed || delta.Reset
+	for _, name := range d.names {
+		p := d.pools[name]
+		p.missed = p.missed || delta.Reset
+		if !p.missed && !p.loading {
+			p.read = maxTime(p.read, delta.Sent)
+		}
+	}
+	for _, c := range delta.Changes {
+		d.takeChange(c)
+	}
+}
+
 // takeChange passes a row of the work table to the pools that may need it.
 func (d *Duty) takeChange(c store.Change) {
 	for _, name := range d.names {
 		switch p := d.pools[name]; {
-		case p.machine != nil:
+		case p.machine != nil && !p.loading:
 			d.takeWork(p, c, nil)
 		case p.State != holder.Idle:
 			p.early = append(p.early, c) // read again when the jobs have been loaded
--- a/rows/work.go
+++ b/rows/work.go
@@ -26,8 +26,8 @@
 type Control struct {
 	Lease
 	Share   float64          // part of a core that the holder's VM has
-	Engaged []engine.Engaged `json:",omitempty"` // workers that may have runs of the holder
-	Status  engine.Status    `json:",omitzero"`  // of a pool
+	Waiting map[string]int   `json:",omitempty"` // by queue: jobs of a pool of which no task has started
+	Queues  []string         `json:",omitempty"` // store.WorkQueue of those that the pool's open jobs came through
 	Release []string         `json:",omitempty"` // machines that the fleet's holder wants without work
 	Due     []string         `json:",omitempty"` // machines whose upkeep is still to come
 	Kept    map[int][]string `json:",omitempty"` // by wave: machines whose upkeep has begun
@@ -39,6 +39,20 @@
 // SetLease replaces the lease of the row.
 func (c *Control) SetLease(r lease.Record) { c.Lease = Lease(r) }
 
+// Load is what the holder of a pool's lease tells about its workers. Only the
+// fleet's owner and a successor read it, so it is kept out of the lease row,
+// which all processes follow.
+type Load struct {
+	Engaged []engine.Engaged `json:",omitempty"` // workers that may have runs of the holder
+	Status  engine.Status
+}
+
+// EncodeLoad encodes a load row.
+func EncodeLoad(l Load) ([]byte, error) { return encode("load row", l) }
+
+// DecodeLoad is the reverse of EncodeLoad.
+func DecodeLoad(value []byte) (Load, error) { return decode[Load]("load row", value) }
+
 // EncodeControl encodes a lease row.
 func EncodeControl(c Control) ([]byte, error) { return encode("lease row", c) }
 
--- a/store/keys.go
+++ b/store/keys.go
@@ -60,25 +60,43 @@
 	TableProgress = "progress" // parts are pools
 	TableControl  = "control"  // parts are pools, and ControlFleet
 	TableOrder    = "order"    // parts likewise; orders the holder's transactions
+	TableLoad     = "load"     // parts are pools; changes with the pool's workers
 	ControlFleet  = "fleet"    // part of the fleet's lease; no pool has this name
 )
 
-// WorkParts is the number of parts of TableWork. A part takes a bounded number
-// of transactions per second; submissions are spread by the hash of their id.
-const WorkParts = 8
+// workParts is the number of parts of TableWork for each queue. A part takes a
+// bounded number of transactions per second (200 on the users' platform), and a
+// queue of a large deployment gets some 400 submissions in its peaks.
+const workParts = 4
 
 // suffixCancel ends the key of a cancellation.
 const suffixCancel = "/cancel"
 
-// KeyWork returns the key of a submission.
-func KeyWork(id string) string {
+// WorkQueue returns the name of a queue in the parts of TableWork. Queues are
+// kept apart, so that the owner of a pool reads only what concerns it. Host and
+// prefix identify the queue, because its name may pass to another one while a
+// caller repeats a submission.
+func WorkQueue(host, prefix string) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host + "\x00" + prefix))
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
+// KeyWork returns the key of a submission. queue is a WorkQueue.
+func KeyWork(queue, id string) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	return TableWork + "/" + strconv.Itoa(int(h.Sum32()%WorkParts)) + "/" + id
+	return TableWork + "/" + queue + "-" + strconv.Itoa(int(h.Sum32()%workParts)) + "/" + id
 }
 
 // KeyWorkCancel returns the key of the cancellation of a submission.
-func KeyWorkCancel(id string) string { return KeyWork(id) + suffixCancel }
+func KeyWorkCancel(queue, id string) string { return KeyWork(queue, id) + suffixCancel }
+
+// QueueOfPart returns the WorkQueue that a part of TableWork belongs to.
+func QueueOfPart(part string) string {
+	queue, _, _ := strings.Cut(part, "-")
+	return queue
+}
 
 // CancelledWork returns the id of the submission that the row with the key
 // cancels; ok is false if the row is no cancellation.
@@ -101,6 +119,14 @@
 	return strings.TrimSuffix(strings.TrimPrefix(key, TableControl+"/"), "/lease")
 }
 
+// KeyLoad returns the key of what a pool's owner tells about its workers.
+func KeyLoad(pool string) string { return TableLoad + "/" + pool + "/status" }
+
+// LoadName is the reverse of KeyLoad.
+func LoadName(key string) string {
+	return strings.TrimSuffix(strings.TrimPrefix(key, TableLoad+"/"), "/status")
+}
+
 // KeyOrder returns the key of the row that each transaction of the holder of a
 // lease changes, so that one that takes effect late can't overwrite a later.
 func KeyOrder(name string) string { return TableOrder + "/" + name + "/last" }
--- a/store/store.go
+++ b/store/store.go
@@ -99,6 +99,10 @@
 	// is given) and the version from which Changes goes on. Rows that change
 	// meanwhile are also among the changes.
 	Snapshot(ctx context.Context, table string, parts ...string) ([]Row, uint64, error)
+	// Parts lists the parts of a table that have rows.
+	Parts(ctx context.Context, table string) ([]string, error)
+	// Position returns the version from which Changes goes on from now.
+	Position(ctx context.Context, table string) (uint64, error)
 	// Changes returns what has changed since a version, and the version to go
 	// on from. It waits until there is a change, at most for wait. It returns
 	// ErrHistoryGone if the changes are not known any more.
