Count failures that are heard out of order; add a fault soak of node processes

Change: the counted runs are kept one by one. The soak runs real node processes against the stand-in of the users' platform through loopback proxies, with signals and a faulty store, and checks the promises from what workers and callers see. The check now follows each end by its run and worker, as the platform's rule says.

--- a/engine/job.go
+++ b/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/workload"
@@ -56,7 +57,7 @@
 	id      workload.TaskID
 	done    bool
 	fails   int
-	counted int // greatest number of a run whose end is counted: ends may be listed again
+	counted []int // runs whose failure is counted: ends may be listed again, and in any order
 	lastRun int
 	saved   string
 	runs    []*run
@@ -153,13 +154,25 @@
 			continue
 		}
 		t := o.steps[m.Step].tasks[m.Index]
-		t.fails, t.counted, t.lastRun, t.saved = m.Failed, m.Counted, m.Run, m.Saved
+		t.fails, t.counted, t.lastRun, t.saved = m.Failed, slices.Clone(m.Counted), m.Run, m.Saved
 		if m.Done {
 			t.finish()
 		}
 	}
 }
 
+// mostCounted bounds the counted runs of a task that may fail without limit. An
+// end that is older than so many others has been acknowledged long ago.
+const mostCounted = 32
+
+// count notes that the failure of a run is counted.
+func (t *task) count(attempt int) {
+	if len(t.counted) == mostCounted {
+		t.counted = slices.Delete(t.counted, 0, 1)
+	}
+	t.counted = append(t.counted, attempt)
+}
+
 // finish marks the task as done.
 func (t *task) finish() {
 	if t.done {
@@ -221,7 +234,7 @@
 				if t.done || t.fails > 0 || t.saved != "" || t.lastRun > 1 {
 					p.Tasks = append(p.Tasks, workload.TaskMark{
 						Occurrence: o.k, Step: s.index, Index: t.id.Index,
-						Done: t.done, Failed: t.fails, Counted: t.counted, Run: t.lastRun, Saved: t.saved,
+						Done: t.done, Failed: t.fails, Counted: slices.Clone(t.counted), Run: t.lastRun, Saved: t.saved,
 					})
 				}
 			}
--- a/engine/run.go
+++ b/engine/run.go
@@ -39,8 +39,8 @@
 	case EndDone:
 		m.markDone(t, w)
 	case EndFailed:
-		if e.Attempt > t.counted {
-			t.counted = e.Attempt
+		if !slices.Contains(t.counted, e.Attempt) {
+			t.count(e.Attempt)
 			m.markFailed(now, t, w, e.Attempt)
 		}
 	default:
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -373,3 +373,26 @@
 	r.pass(100 * time.Millisecond)
 	require.Len(t, r.starts, 30, "it is used again after the row names it")
 }
+
+// A failure that was heard after a later one was not counted, and a task was
+// started again after its last attempt.
+func TestFailuresHeardOutOfOrderAreAllCounted(t *testing.T) {
+	a, b := newWorker("a"), newWorker("b")
+	task := workload.TaskID{Job: "j1"}
+	r := newRig(t, 2, []Engaged{{ID: "a", Born: 1}, {ID: "b", Born: 1}})
+	a.born, b.born = r.now.Add(-time.Minute), r.now.Add(-time.Minute)
+	r.workers["a"], r.workers["b"] = a, b
+	a.ends, a.ended = 1, []EndReport{{Number: 1, Task: task, Attempt: 3, How: EndFailed}}
+	b.ends, b.ended = 1, []EndReport{{Number: 1, Task: task, Attempt: 4, How: EndFailed}}
+	a.silent = true
+	old := testJob("j1", simpleStep(1))
+	old.Submission.Queue.MaxAttempts, old.Recovered = 4, true
+	old.Progress = &workload.Progress{State: workload.Running, Tasks: []workload.TaskMark{{Failed: 2, Counted: []int{1, 2}, Run: 2}}}
+	queue := old.Submission.Queue
+	r.step(QueuesSeen{Queues: []workload.Queue{queue}}, old, r.listed())
+	r.pass(500 * time.Millisecond)
+	a.silent = false
+	r.pass(2 * time.Second)
+	require.Empty(t, r.starts)
+	require.Equal(t, workload.Failed, r.m.ended["j1"])
+}
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -91,6 +91,17 @@
 
 func (c *child) signal(s syscall.Signal) { require.NoError(c.t, c.cmd.Process.Signal(s)) }
 
+// gone reports whether the process has ended.
+func (c *child) gone() bool {
+	select {
+	case err := <-c.ended:
+		c.ended <- err
+		return true
+	default:
+		return false
+	}
+}
+
 // kill ends the process without a chance to clean up.
 func (c *child) kill() {
 	_ = c.cmd.Process.Kill()
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -28,6 +28,8 @@
 	version uint64
 	history []row
 	waiters []waiter
+	// forgotten is the version up to which the history is not known any more.
+	forgotten uint64
 }
 
 // waiter is a reader of changes that has found none yet.
@@ -128,15 +130,19 @@
 }
 
 func (p *Platform) handleStore(ctx *fasthttp.RequestCtx) {
-	down := false
-	p.do(func() { down = p.down })
+	down, lose, delay := false, false, time.Duration(0)
+	p.do(func() { down, lose, delay = p.down, p.chance(p.faults.LoseAnswers), p.faults.StoreDelay })
 	if down {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	time.Sleep(delay)
 	switch string(ctx.Path()) {
 	case "/rows-tx":
 		p.transact(ctx)
+		if lose {
+			breakOff(ctx)
+		}
 	case "/rows-get":
 		p.get(ctx)
 	case "/rows-parts":
@@ -209,10 +215,18 @@
 		table: string(q.Peek("table")), after: uint64(q.GetUintOrZero("after")), reply: make(chan []row, 1),
 		until: time.Now().Add(time.Duration(q.GetUintOrZero("wait-ms")) * time.Millisecond),
 	}
+	gone := false
 	p.do(func() {
+		if gone = w.after < p.store.forgotten; gone {
+			return
+		}
 		p.store.waiters = append(p.store.waiters, w)
 		p.store.notify()
 	})
+	if gone {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
 	answer := rowsAnswer{Now: p.clock(), Version: w.after}
 	select {
 	case answer.Rows = <-w.reply:
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -16,6 +17,11 @@
 type Options struct {
 	Workers  int           // of the one pool, one on each machine
 	TaskTime time.Duration // that a run takes
+	// Through returns the address that a worker registers in place of its own,
+	// so that a proxy can stand before it; nil: its own.
+	Through func(addr string) (string, error)
+	// ClockRate is the rate of the workers' clocks; 0 means 1.
+	ClockRate float64
 }
 
 // Names of the stand-in's objects.
@@ -41,13 +47,21 @@
 	workers map[string]*worker
 	twice   []string // tasks that ran at two workers at the same time
 	down    bool     // the store refuses everything
+	faults  Faults
+	random  *rand.Rand
+	events  []Event
+	version int // of the configuration
+	extra   int // queues beside the first
 }
 
 // Start runs a stand-in until Stop.
 func Start(o Options) (*Platform, error) {
 	p := &Platform{
 		opt: o, calls: make(chan func()), ended: make(chan struct{}), began: time.Now(),
-		store: newStore(), workers: map[string]*worker{},
+		store: newStore(), workers: map[string]*worker{}, random: rand.New(rand.NewPCG(1, 2)), version: 1,
+	}
+	if p.opt.ClockRate == 0 {
+		p.opt.ClockRate = 1
 	}
 	go p.loop()
 	var err error
@@ -131,17 +145,32 @@
 }
 
 func (p *Platform) configure() {
-	config := `{"version":1,"routes":[{"name":"q","host":"` + Host + `","path-prefix":"` + Prefix + `","kind":"non_idempotent",` +
+	routes := ""
+	for n := range p.extra {
+		routes += `{"name":"x` + strconv.Itoa(n) + `","host":"` + Host + `","path-prefix":"` + ExtraPrefix(n) + `","kind":"non_idempotent",` +
+			`"timeout-ms":3000,"target-latency-ms":600,"priority":1,"service":"` + Pool + `","max-attempts":4,"stretch":1.6},`
+	}
+	config := `{"version":` + strconv.Itoa(p.version) + `,"routes":[` + routes + `{"name":"q","host":"` + Host + `","path-prefix":"` + Prefix + `","kind":"non_idempotent",` +
 		`"timeout-ms":3000,"target-latency-ms":600,"priority":0,"service":"` + Pool + `","max-attempts":4,"stretch":1.6}],` +
 		`"services":[{"name":"` + Pool + `","preconditions":true},{"name":"` + Standby + `","standby":true}],` +
 		`"limits":{"max-header-bytes":16384,"max-body-bytes":262144}}`
 	p.store.set(address{"op", "", "config"}, []byte(config))
 	for _, w := range p.workers {
-		p.store.set(address{"servers", "", w.id}, []byte(`{"service":"`+Pool+`","addr":"`+w.addr+`","zone":"z","version":"v1","slots":8,`+
-			`"state":"ready","born":`+strconv.FormatInt(w.born, 10)+`,"machine":"`+w.machine+`","labels":["a","r1"],`+
-			`"capacity":{"cpu":16000,"mem-mb":32768,"gpu":0}}`))
+		p.register(w)
 	}
 }
 
+// register writes the worker's entry in the store.
+func (p *Platform) register(w *worker) {
+	p.store.set(address{"servers", "", w.id}, []byte(`{"service":"`+Pool+`","addr":"`+w.addr+`","zone":"z","version":"v1","slots":8,`+
+		`"state":"ready","born":`+strconv.FormatInt(w.born, 10)+`,"machine":"`+w.machine+`","labels":["a","r1"],`+
+		`"capacity":{"cpu":`+strconv.Itoa(workerCPU)+`,"mem-mb":32768,"gpu":0}}`))
+}
+
+// workerCPU is a worker's capacity in thousandths of a core.
+const workerCPU = 16000
+
 // clock returns the workers' clock in ms.
-func (p *Platform) clock() int64 { return time.Since(p.began).Milliseconds() + 1 }
+func (p *Platform) clock() int64 {
+	return int64(float64(time.Since(p.began).Milliseconds())*p.opt.ClockRate) + 1
+}
--- a/standin/users/worker.go
+++ b/standin/users/worker.go
@@ -19,21 +19,29 @@
 	ended             [][]any
 	ends              int
 	done              int
+	lapsed            int             // ends up to this number were listed before a lease lapsed
 	waiting           []chan struct{} // holds that wait for an end
+	stopped           map[string]int  // by task: greatest number of a run that was stopped or ended
 }
 
 type run struct {
 	task    string
 	attempt int
 	began   time.Time
+	fails   bool
 }
 
 func (p *Platform) addWorker(n int) error {
-	w := &worker{id: "i-" + strconv.Itoa(n), machine: "m-" + strconv.Itoa(n), born: time.Now().UnixMilli()}
+	w := &worker{id: "i-" + strconv.Itoa(n), machine: "m-" + strconv.Itoa(n), born: time.Now().UnixMilli(), stopped: map[string]int{}}
 	var err error
 	if w.addr, err = p.serve(func(ctx *fasthttp.RequestCtx) { p.handleWorker(ctx, w) }); err != nil {
 		return err
 	}
+	if p.opt.Through != nil {
+		if w.addr, err = p.opt.Through(w.addr); err != nil {
+			return err
+		}
+	}
 	p.do(func() { p.workers[w.id] = w })
 	return nil
 }
@@ -44,20 +52,32 @@
 	for _, w := range p.workers {
 		for _, r := range slices.Clone(w.runs) {
 			switch {
+			case clock > w.lease:
+				p.end(w, r, "lapsed")
+			case now.Sub(r.began) >= p.opt.TaskTime && r.fails:
+				p.end(w, r, "failed")
 			case now.Sub(r.began) >= p.opt.TaskTime:
 				w.done++
-				w.end(r, "done")
-			case clock > w.lease:
-				w.end(r, "lapsed")
+				p.end(w, r, "done")
 			}
 		}
+		if w.lease > 0 && clock > w.lease {
+			w.lapsed = w.ends
+		}
 	}
 }
 
-func (w *worker) end(r *run, how string) {
+func (p *Platform) end(w *worker, r *run, how string) {
 	w.runs = slices.DeleteFunc(w.runs, func(o *run) bool { return o == r })
 	w.ends++
 	w.ended = append(w.ended, []any{w.ends, r.task, r.attempt, how, ""})
+	w.stopped[r.task] = max(w.stopped[r.task], r.attempt)
+	p.note(Ended, w, r, how)
+	w.wake()
+}
+
+// wake answers the holds that wait.
+func (w *worker) wake() {
 	for _, c := range w.waiting {
 		close(c)
 	}
@@ -85,28 +105,17 @@
 	}
 	var reason string
 	var wait chan struct{}
+	path, late, by := string(ctx.Path()), false, time.Duration(0)
+	p.do(func() { late, by = path != "/hold" && p.chance(p.faults.LateOrders), p.faults.LateBy })
+	if late {
+		time.AfterFunc(by, func() { p.do(func() { p.carryOut(w, path, o) }) })
+		breakOff(ctx)
+		return
+	}
 	p.do(func() {
-		if o.Token < w.token {
-			reason = "fence"
-			return
-		}
-		w.token = o.Token
-		w.lease = max(w.lease, o.Deadline)
-		switch string(ctx.Path()) {
-		case "/run-start":
-			reason = p.startRun(w, o)
-		case "/run-stop":
-			for _, r := range slices.Clone(w.runs) {
-				if r.task == o.Task && r.attempt == o.Attempt {
-					w.end(r, "stopped")
-				}
-			}
-		case "/hold":
-			w.ended = slices.DeleteFunc(w.ended, func(e []any) bool { return e[0].(int) <= o.Seen })
-			if o.Wait > 0 && len(w.ended) == 0 {
-				wait = make(chan struct{})
-				w.waiting = append(w.waiting, wait)
-			}
+		if reason = p.carryOut(w, path, o); reason == "" && path == "/hold" && o.Wait > 0 && len(w.ended) == 0 {
+			wait = make(chan struct{})
+			w.waiting = append(w.waiting, wait)
 		}
 	})
 	if wait != nil {
@@ -119,11 +128,43 @@
 	p.answerWorker(ctx, w, reason)
 }
 
+// carryOut carries an order out, or says why it does not.
+func (p *Platform) carryOut(w *worker, path string, o order) (reason string) {
+	if o.Token < w.token {
+		return "fence"
+	}
+	w.token = o.Token
+	w.lease = max(w.lease, o.Deadline)
+	switch path {
+	case "/run-start":
+		return p.startRun(w, o)
+	case "/run-stop":
+		w.stopped[o.Task] = max(w.stopped[o.Task], o.Attempt)
+		for _, r := range slices.Clone(w.runs) {
+			if r.task == o.Task && r.attempt == o.Attempt {
+				p.end(w, r, "stopped")
+			}
+		}
+	case "/hold":
+		w.ended = slices.DeleteFunc(w.ended, func(e []any) bool {
+			seen := e[0].(int) <= o.Seen
+			if seen && e[0].(int) > w.lapsed {
+				p.note(Acknowledged, w, &run{task: e[1].(string), attempt: e[2].(int)}, e[3].(string))
+			}
+			return seen
+		})
+	}
+	return ""
+}
+
 // startRun begins a run, or says why it does not.
 func (p *Platform) startRun(w *worker, o order) (reason string) {
 	if o.Deadline < p.clock() {
 		return "late"
 	}
+	if o.Attempt <= w.stopped[o.Task] {
+		return "old"
+	}
 	for _, other := range p.workers {
 		for _, r := range other.runs {
 			if r.task != o.Task {
@@ -135,7 +176,9 @@
 			p.twice = append(p.twice, o.Task)
 		}
 	}
-	w.runs = append(w.runs, &run{task: o.Task, attempt: o.Attempt, began: time.Now()})
+	r := &run{task: o.Task, attempt: o.Attempt, began: time.Now(), fails: p.chance(p.faults.FailRuns)}
+	w.runs = append(w.runs, r)
+	p.note(Started, w, r, "")
 	return ""
 }
 
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -216,7 +216,7 @@
 	Index      int    `json:"i,omitempty"`
 	Done       bool   `json:"d,omitempty"`
 	Failed     int    `json:"f,omitempty"` // failed runs
-	Counted    int    `json:"e,omitempty"` // greatest number of a run whose end is counted
+	Counted    []int  `json:"e,omitempty"` // runs whose failure is counted
 	Run        int    `json:"r,omitempty"` // greatest number of a run so far
 	Saved      string `json:"c,omitempty"` // checkpoint
 }
