Notice changes that were not told; keep machines for lasting tasks that must be apart

Ruled out: processor time; a lost lease (none changed its holder then). Change: lease rows are renewed all the time, so silence of their feed causes a full reading, and what that shows beyond the feed makes the other followers start anew. A pool's size includes the widest spread of its lasting steps, and a machine for each one that is planned for upkeep.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -47,6 +47,12 @@
 	// feedWait is how long a reading without changes may take. A connection
 	// that went silent costs this and the slack of the adapter.
 	feedWait = 800 * time.Millisecond
+	// quickWait replaces it for tables that change all the time at a peak, so that
+	// a reading that hears nothing ends soon.
+	quickWait = 400 * time.Millisecond
+	// quiet is how long the lease rows, which are renewed three times a second, may
+	// show no change before they are read in full.
+	quiet = 600 * time.Millisecond
 	// leaseGap lets renewals of several leases share one reading.
 	leaseGap = 120 * time.Millisecond
 	// operatorGap lets changes of the configuration in quick succession share one.
@@ -136,7 +142,7 @@
 		return nil, err
 	}
 	follower := func(f follow.Options) {
-		f.Feed, f.Wait, f.Log = n.store, feedWait, part("follow")
+		f.Feed, f.Log = n.store, part("follow")
 		n.sup.Add(duty.Duty{Name: "follow-" + f.Table, Run: follow.New(f).Run})
 	}
 	whole := []string{""}
@@ -156,12 +162,12 @@
 	}
 	n.sup.Add(duty.Duty{Name: "board", Run: views.Run})
 	toBoard, toPools := []*ring.Ring[follow.Delta]{views.In}, []*ring.Ring[follow.Delta]{n.pools.Deltas}
-	follower(follow.Options{Table: operator.Table, Gap: operatorGap, Parts: whole, Out: toBoard})
-	follower(follow.Options{Table: store.TableControl, Gap: leaseGap, Out: toBoard})
-	follower(follow.Options{Table: worker.Table, Gap: registrationGap, Parts: whole, Wanted: wanted[worker.Table], Out: toPools})
-	follower(follow.Options{Table: store.TableWork, Gap: workGap, Bare: true, Wanted: wanted[store.TableWork], Out: toPools})
+	follower(follow.Options{Table: operator.Table, Wait: feedWait, Gap: operatorGap, Parts: whole, Out: toBoard})
+	follower(follow.Options{Table: store.TableControl, Wait: quickWait, Quiet: quiet, Gap: leaseGap, Out: toBoard})
+	follower(follow.Options{Table: worker.Table, Wait: quickWait, Gap: registrationGap, Parts: whole, Wanted: wanted[worker.Table], Out: toPools})
+	follower(follow.Options{Table: store.TableWork, Wait: quickWait, Gap: workGap, Bare: true, Wanted: wanted[store.TableWork], Out: toPools})
 	if n.fleet != nil {
-		follower(follow.Options{Table: store.TableLoad, Gap: leaseGap, Wanted: loads, Out: []*ring.Ring[follow.Delta]{n.fleet.Loads}})
+		follower(follow.Options{Table: store.TableLoad, Wait: quickWait, Quiet: quiet, Gap: leaseGap, Wanted: loads, Out: []*ring.Ring[follow.Delta]{n.fleet.Loads}})
 	}
 	return n, nil
 }
--- a/engine/watch.go
+++ b/engine/watch.go
@@ -348,8 +348,9 @@
 
 // Status is what the owner tells the fleet's owner and the callers' side.
 type Status struct {
-	Short    int             `json:"short,omitempty"` // thousandths of a core that waiting tasks lack
-	Lasting  int             `json:"last,omitempty"`  // thousandths of a core that lasting tasks take
+	Short    int             `json:"short,omitempty"`  // thousandths of a core that waiting tasks lack
+	Lasting  int             `json:"last,omitempty"`   // thousandths of a core that lasting tasks take
+	Spread   int             `json:"spread,omitempty"` // machines that the lasting step with the widest spread needs
 	Machines []MachineStatus `json:"machines,omitempty"`
 	Release  uint64          `json:"release,omitempty"` // version of the fleet's row that Released answers
 	// PerMachine is the greatest capacity of a machine, in thousandths of a core.
@@ -373,9 +374,26 @@
 	return m.release[w.Machine] && (w.synced || m.settled()) && len(w.runs) == 0 && w.seen <= w.storable
 }
 
+// spread returns the number of machines that the open lasting step with the
+// widest spread needs, 0 if none is spread.
+func (m *Machine) spread() int {
+	most := 0
+	for _, j := range m.order {
+		if j.state.Ended() {
+			continue
+		}
+		for _, st := range j.sub.Steps {
+			if st.Lasting && st.MaxPerWorker > 0 {
+				most = max(most, (st.Count+st.MaxPerWorker-1)/st.MaxPerWorker)
+			}
+		}
+	}
+	return most
+}
+
 // Status returns the present state.
 func (m *Machine) Status(now time.Time) Status {
-	s := Status{Release: m.releaseVersion, Short: m.short}
+	s := Status{Release: m.releaseVersion, Short: m.short, Spread: m.spread()}
 	for _, w := range m.list {
 		if !w.listed || w.gone {
 			continue
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -87,3 +88,32 @@
 	r.pass(time.Second)
 	require.Empty(t, r.m.pools["p"].cycle.rises)
 }
+
+// A pool that had given its base away had no machine for the tasks of one that
+// was due for upkeep, so its wave was late by 3 s and more.
+func TestPoolHasMachinesForTasksThatMustBeApart(t *testing.T) {
+	r := newRig(false)
+	p := r.pools["p"]
+	p.Status.Spread = 5
+	r.pools["p"] = p
+	for n := range 3 {
+		id := fmt.Sprintf("m%d", n)
+		r.add(id, "p", "w-"+id)
+		r.load(engine.MachineStatus{Machine: id, Worker: "w-" + id, Usable: true, Runs: 1, Lasting: 1})
+	}
+	for n := range 9 {
+		r.add(fmt.Sprintf("s%d", n), "spare", "")
+	}
+	r.step()
+	require.Len(t, r.moves, 3, "one more than must be apart")
+	for i := range r.machines {
+		if r.machines[i].Pool == "spare" && slices.ContainsFunc(r.moves, func(m Move) bool { return m.Machine == r.machines[i].ID }) {
+			r.machines[i].Pool, r.machines[i].Worker = "p", "w-"+r.machines[i].ID
+		}
+	}
+	r.pass(3 * time.Second)
+	require.Len(t, r.moves, 3)
+	r.step(requested(1, "m0"))
+	r.pass(time.Second)
+	require.Len(t, r.moves, 4, "one for the machine that is emptied")
+}
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -53,7 +53,10 @@
 
 // wanted returns how many machines the pool should have.
 func (m *Machine) wanted(p *pool, perMachine int) int {
-	return int(math.Ceil(headroom*float64(p.expected(m.cfg.MoveTime))/float64(perMachine))) + reserve
+	busy := int(math.Ceil(headroom * float64(p.expected(m.cfg.MoveTime)) / float64(perMachine)))
+	// Lasting tasks that have to be apart need machines of their own, also while
+	// some machines are emptied for their upkeep.
+	return max(busy, p.Status.Spread) + p.upkeep + reserve
 }
 
 // planMoves brings machines to pools that lack them, and idle ones to where
--- a/node/board/board.go
+++ b/node/board/board.go
@@ -24,6 +24,7 @@
 	Waves         map[int]Wave
 	Leases        map[string]Lease // by pool, and store.ControlFleet
 	LeasesRead    time.Time        // steady time at which the newest reading of the lease rows was sent
+	Missed        int              // how often a reading of all lease rows showed changes that had not been told
 	Failing       time.Time        // since when the lease rows can't be read; zero if they can
 }
 
@@ -110,6 +111,7 @@
 	if d.Table == store.TableControl {
 		b.endFailure(now)
 		if d.Reset {
+			b.noteMissed(d)
 			b.dropLeases(d)
 		}
 		for _, c := range d.Changes {
@@ -139,6 +141,18 @@
 	}
 }
 
+// noteMissed looks in a whole reading for rows that are newer than known. The
+// first reading has nothing to compare with.
+func (b *Board) noteMissed(d follow.Delta) {
+	for _, c := range d.Changes {
+		if known, ok := b.view.Leases[store.ControlName(c.Key)]; ok && known.Version < c.Version {
+			b.view.Missed++
+			b.Log.Info("changes were not told", "row", c.Key, "known", known.Version, "found", c.Version)
+			return
+		}
+	}
+}
+
 // dropLeases forgets lease rows that a whole reading does not have.
 func (b *Board) dropLeases(d follow.Delta) {
 	maps.DeleteFunc(b.view.Leases, func(name string, _ Lease) bool {
--- a/node/board/board_test.go
+++ b/node/board/board_test.go
@@ -55,6 +55,25 @@
 	require.Equal(t, uint64(7), b.view.Configuration.Version)
 }
 
+// While the store's watches were deaf for a second, submissions and machines that
+// joined were not noticed; the lease rows show it, since they change all the time.
+func TestUntoldChangesAreNoticed(t *testing.T) {
+	b := newBoard(nil)
+	first := leaseDelta(t, 1)
+	first.Reset = true
+	b.take(first)
+	require.Zero(t, b.view.Missed)
+	b.take(leaseDelta(t, 2))
+	same := leaseDelta(t, 2)
+	same.Reset = true
+	b.take(same)
+	require.Zero(t, b.view.Missed)
+	later := leaseDelta(t, 5)
+	later.Reset = true
+	b.take(later)
+	require.Equal(t, 1, b.view.Missed)
+}
+
 // A lease row that is gone must not be taken for a held one.
 func TestWholeReadingDropsRows(t *testing.T) {
 	b := newBoard(nil)
--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -35,7 +35,12 @@
 	Wait time.Duration // the platform holds a reading without changes this long
 	Gap  time.Duration // between readings, so that changes share one
 	Out  []*ring.Ring[Delta]
-	// Wanted turns the following on and off; nil: always on.
+	// Quiet is how long there may be no change before the whole table is read
+	// again; 0: for ever. It is for tables that change all the time: the platform
+	// may stop to tell changes for a second before it forgets its history.
+	Quiet time.Duration
+	// Wanted turns the following on and off; nil: always on. Each true starts it
+	// anew with a reading of the whole table.
 	Wanted *ring.Ring[bool]
 	Log    hclog.Logger
 }
@@ -52,7 +57,8 @@
 type Follower struct {
 	Options
 	after   uint64
-	known   bool // after is valid
+	known   bool      // after is valid
+	heard   time.Time // of the last change
 	failing bool
 	retry   time.Duration
 }
@@ -113,7 +119,15 @@
 		f.Log.Info("table can be read again", "table", f.Table)
 	}
 	f.known, f.failing, f.retry = true, false, 0
+	now := steady.Now()
+	if d.Reset || len(d.Changes) > 0 {
+		f.heard = now
+	}
 	f.put(ctx, d)
+	if f.Quiet > 0 && now.Sub(f.heard) >= f.Quiet {
+		f.known = false
+		return 0
+	}
 	return f.Gap
 }
 
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -77,3 +77,10 @@
 	require.Empty(t, d.Changes)
 	require.Zero(t, f.snapshots.Load())
 }
+
+// A table that changes all the time and shows no change is read in full.
+func TestQuietTableIsReadAgain(t *testing.T) {
+	f := &feed{}
+	out := startFollower(t, Options{Feed: f, Quiet: 5 * time.Millisecond})
+	require.Eventually(t, func() bool { <-out.C(); return f.snapshots.Load() >= 3 }, 5*time.Second, time.Millisecond)
+}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -213,12 +213,12 @@
 		}
 		wake = minTime(wake, d.drive(ctx, now, p))
 	}
-	d.follow(ctx, held > 0)
+	d.follow(held > 0)
 	return max(time.Millisecond, wake.Sub(steady.Now()))
 }
 
 // follow turns the followers of the large tables on while pools are owned.
-func (d *Duty) follow(ctx context.Context, on bool) {
+func (d *Duty) follow(on bool) {
 	if on == d.following {
 		return
 	}
@@ -227,14 +227,23 @@
 	if !on {
 		d.registry = newRegistry()
 	}
+	d.want(on)
+}
+
+// want turns the followers of the large tables on or off. Each that is turned on
+// again reads its table anew.
+func (d *Duty) want(on bool) {
 	for table, wanted := range d.Wanted {
-		if err := wanted.Put(ctx, on); err != nil {
+		if err := wanted.Put(context.Background(), on); err != nil { // keeps the newest, so it never waits
 			d.Log.Warn("a follower was not told", "table", table, "error", err)
 		}
 	}
 }
 
 func (d *Duty) see(v *board.View) {
+	if d.view != nil && d.view.Missed != v.Missed && d.following {
+		d.want(true) // other tables may have missed changes too
+	}
 	d.view = v
 	if v.Configuration == nil {
 		return
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -11,9 +11,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/platform/worker"
+	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/workload"
@@ -194,3 +196,18 @@
 	require.True(t, d.takeRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{removed}}))
 	require.Empty(t, registrations(d))
 }
+
+// After changes of the lease rows were not told, the work table and the
+// registrations are read again.
+func TestUntoldChangesMakeFollowersStartAnew(t *testing.T) {
+	d := newDuty()
+	wanted := ring.New[bool]("wanted", 1, ring.KeepNewest)
+	d.Wanted = map[string]*ring.Ring[bool]{store.TableWork: wanted}
+	d.follow(true)
+	<-wanted.C()
+	d.see(&board.View{Missed: 1})
+	d.see(&board.View{Missed: 1})
+	require.Empty(t, wanted.C())
+	d.see(&board.View{Missed: 2})
+	require.True(t, <-wanted.C())
+}
