Settle starts without an answer by a stop

Ruled out: a shorter deadline of starts, which a slow VM would miss. Change: after a hold that was sent later does not list the run, a stop forbids it at the worker, and the task is started again; one order without an answer does not yet make a worker silent.

--- a/engine/job.go
+++ b/engine/job.go
@@ -85,6 +85,7 @@
 	deadline   int64 // of the start, on the worker's clock
 	sent       time.Time
 	acked      time.Time // start answered or seen running
+	unanswered time.Time // when the start was given up as without an answer
 	percent    int
 	percentAt  time.Time // when percent last changed
 	load       int
--- a/engine/run.go
+++ b/engine/run.go
@@ -165,6 +165,10 @@
 		m.decide("run-not-started", "its deadline has passed at the worker", r.task, w, r.attempt)
 	case !r.stopAcked.IsZero() && r.stopAcked.Before(e.Sent):
 		// The stop came first and forbids the run.
+	case r.state == unsettled && !e.Sent.Before(r.unanswered):
+		// A stop settles the run at once; its deadline is more than a second away.
+		m.stop(r, "its start had no answer, and the worker does not list it")
+		return
 	default:
 		return
 	}
@@ -182,6 +186,9 @@
 		return
 	}
 	m.changed = true
+	if e.Result != Unknown && e.Result != NotDelivered {
+		w.silences = 0
+	}
 	switch e.Result {
 	case OK:
 		r.acked = now
@@ -196,9 +203,9 @@
 		m.depose(w)
 		return
 	case Unknown:
-		w.suspect = true
+		w.unanswered()
 		if r.state == starting {
-			r.state = unsettled
+			r.state, r.unanswered = unsettled, now
 		}
 		m.decide("start-unsettled", "no answer", t, w, e.Attempt)
 		w.nextHold = now
@@ -262,10 +269,13 @@
 		return
 	}
 	r.stopSent = now
-	if e.Result == OK {
-		r.stopAcked = now
+	switch e.Result {
+	case OK:
+		r.stopAcked, w.silences = now, 0
 		w.nextHold = minTime(w.nextHold, now.Add(holdGap))
-	} else {
-		w.suspect = w.suspect || e.Result == Unknown || e.Result == NotDelivered
+	case Unknown:
+		w.unanswered()
+	case NotDelivered:
+		w.suspect = true
 	}
 }
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -61,7 +61,8 @@
 	nextHold time.Time
 	lastHold time.Time // sending of the last hold that was answered
 	reported bool      // the owner's row says that its machine is released
-	suspect  bool      // a call went unanswered since the last answer
+	suspect  bool      // calls go unanswered
+	silences int       // orders without an answer since the last answer
 	noRoom   time.Time // refused for want of room; nothing is started until then
 
 	failures   int // in a row
@@ -197,13 +198,24 @@
 // answer that does not wait.
 func (m *Machine) needsNews(w *worker) bool {
 	for _, r := range w.runs {
-		if r.state == unsettled {
+		// A run that was stopped before it came never ends.
+		if r.state == unsettled || r.state == stopping && r.acked.IsZero() && !r.stopAcked.IsZero() {
 			return true
 		}
 	}
 	return false
 }
 
+// silencesAllowed is how many orders in a row may go without an answer before
+// nothing more is started at a worker. One may be lost on its way.
+const silencesAllowed = 1
+
+// unanswered notes that an order got no answer.
+func (w *worker) unanswered() {
+	w.silences++
+	w.suspect = w.suspect || w.silences > silencesAllowed
+}
+
 func (m *Machine) live(l workload.Life) *worker {
 	w, ok := m.workers[l.ID]
 	if !ok || w.Born != l.Born {
@@ -243,7 +255,7 @@
 		m.decide("worker-answers", "", nil, w, 0)
 	}
 	first := !w.synced
-	w.suspect, w.synced = false, true
+	w.suspect, w.silences, w.synced = false, 0, true
 	w.clock, w.clockAt, w.lastHold = e.Report.Clock, now, e.Sent
 	if w.deadline > 0 {
 		left := time.Duration(w.deadline-w.clock) * time.Millisecond
