--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -38,7 +38,6 @@
 	storeTimeout     = time.Second // of one call; the store answers in some 10 ms
 	storeConnections = 48
 	orderTimeout     = 600 * time.Millisecond // of an order to a worker
-	policyTimeout    = 3 * time.Second
 	fleetTimeout     = time.Second
 )
 
@@ -107,7 +106,7 @@
 	}
 	var advice pools.Policy
 	if o.Settings.Policy != "" {
-		advice = policy.New(o.Settings.Policy, policyTimeout)
+		advice = policy.New(o.Settings.Policy, pools.AdviceTimeout)
 	}
 	in := nodeintake.New(nodeintake.Options{Table: n.store, Log: part("intake"), Metrics: o.Metrics})
 	n.pools = pools.New(pools.Options{
--- a/engine/run.go
+++ b/engine/run.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/workload"
 )
 
@@ -272,7 +273,7 @@
 	switch e.Result {
 	case OK:
 		r.stopAcked, w.silences = now, 0
-		w.nextHold = minTime(w.nextHold, now.Add(holdGap))
+		w.nextHold = times.Earlier(w.nextHold, now.Add(holdGap))
 	case Unknown:
 		w.unanswered()
 	case NotDelivered:
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -320,10 +320,3 @@
 	}
 	m.changed = true
 }
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -22,7 +22,7 @@
 	"structs", "configcheck", "publication", "admission", "dispatch", "retry",
 	"intent", "pacing", "budget", "rollout", "buffer", "placement", "membership", "lease",
 	"daemon/gateway/dispatcher", "daemon/controller/jobs/machine",
-	"workload", "engine", "intake", "fleet",
+	"workload", "engine", "intake", "fleet", "internal/times",
 }
 
 // Imports that a pure package may have besides other pure packages.
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -45,6 +45,29 @@
 	cmd   *exec.Cmd
 	ended chan error
 	addrs map[string]string // from its start line
+	tail  chan []string     // last lines of its output; taken and put back
+}
+
+// tailLines is how many lines of the output are kept to explain an end.
+const tailLines = 15
+
+// keep adds a line to the tail.
+func (c *child) keep(line string) {
+	lines := append(<-c.tail, line)
+	c.tail <- lines[max(0, len(lines)-tailLines):]
+}
+
+// explain says how the process ended, if it has, and what it wrote last.
+func (c *child) explain() string {
+	how := "is running"
+	if c.gone() {
+		err := <-c.ended
+		c.ended <- err
+		how = fmt.Sprintf("ended: %v", err)
+	}
+	lines := <-c.tail
+	c.tail <- lines
+	return fmt.Sprintf("%s %s; last lines:\n%s", c.name, how, strings.Join(lines, "\n"))
 }
 
 // start runs the binary and waits until ready reads the addresses from a line
@@ -59,7 +82,8 @@
 	t testing.TB, name string, ready func(line string) map[string]string, observe func(line string), args ...string,
 ) *child {
 	t.Helper()
-	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1)}
+	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1), tail: make(chan []string, 1)}
+	c.tail <- nil
 	out, in := io.Pipe()
 	c.cmd.Stdout, c.cmd.Stderr = in, in
 	require.NoError(t, c.cmd.Start())
@@ -68,6 +92,7 @@
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
 			observe(lines.Text())
+			c.keep(lines.Text())
 			if addrs := ready(lines.Text()); addrs != nil {
 				found <- addrs
 			} else if os.Getenv("SYSTEMTEST_VERBOSE") != "" {
@@ -89,7 +114,12 @@
 	return c
 }
 
-func (c *child) signal(s syscall.Signal) { require.NoError(c.t, c.cmd.Process.Signal(s)) }
+func (c *child) signal(s syscall.Signal) {
+	err := c.cmd.Process.Signal(s)
+	if err != nil {
+		require.NoError(c.t, err, c.explain())
+	}
+}
 
 // gone reports whether the process has ended.
 func (c *child) gone() bool {
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/lease"
 	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/rows"
@@ -232,29 +233,15 @@
 func (h *Holder) RenewAt(within time.Duration) time.Time {
 	at := h.renewed.Add(renewEvery)
 	if within > 0 {
-		at = minTime(at, h.last.Add(within))
+		at = times.Earlier(at, h.last.Add(within))
 	}
-	return maxTime(at, h.nextTry)
+	return times.Later(at, h.nextTry)
 }
 
 // AppendAt returns when the next write that does not renew may be sent, within
 // after the last write.
 func (h *Holder) AppendAt(within time.Duration) time.Time {
-	return maxTime(h.last.Add(within), h.nextTry)
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
+	return times.Later(h.last.Add(within), h.nextTry)
 }
 
 // Renew returns the write that renews the lease with the row's new content,
--- a/node/pools/drive.go
+++ b/node/pools/drive.go
@@ -8,6 +8,7 @@
 
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/internal/steady"
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
@@ -43,10 +44,10 @@
 			return now
 		}
 		if at := p.machine.Wake(); !at.IsZero() {
-			wake = minTime(wake, at)
+			wake = times.Earlier(wake, at)
 		}
 	}
-	return minTime(wake, d.write(ctx, now, p))
+	return times.Earlier(wake, d.write(ctx, now, p))
 }
 
 // step lets the machine decide and carries its orders out.
@@ -155,9 +156,9 @@
 	}
 }
 
-// adviceTimeout bounds a call to the placement policy, which names up to 30
+// AdviceTimeout bounds a call to the placement policy, which names up to 30
 // workers and may wait for 32 others.
-const adviceTimeout = 3 * time.Second
+const AdviceTimeout = 3 * time.Second
 
 func (d *Duty) advise(ctx context.Context, a engine.Advise, reply func(engine.Event)) {
 	e := engine.AdviceAnswered{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Asked: a.Workers}
@@ -167,7 +168,7 @@
 			reply(e)
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, AdviceTimeout)
 		defer cancel()
 		var err error
 		if e.Tickets, e.Valid, err = d.Policy.Advise(callCtx, a); err != nil {
@@ -185,7 +186,7 @@
 		return now.Add(idleWake)
 	}
 	renewAt, loadAt, appendAt := d.writeTimes(now, p)
-	if at := minTime(renewAt, minTime(loadAt, appendAt)); now.Before(at) {
+	if at := times.Earlier(renewAt, times.Earlier(loadAt, appendAt)); now.Before(at) {
 		return at
 	}
 	renews := !now.Before(renewAt)
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
@@ -171,7 +172,7 @@
 		p.loadAt, p.missed = d.now().Add(loadRetry), p.machine != nil
 		return
 	}
-	p.read = maxTime(p.read, r.sent)
+	p.read = times.Later(p.read, r.sent)
 	if p.machine != nil {
 		d.Log.Info("jobs are read again", "pool", p.Name, "jobs", d.takeJobs(p, r))
 		return
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -14,6 +14,7 @@
 	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/internal/steady"
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/node/follow"
@@ -211,7 +212,7 @@
 			d.commit(ctx, p, p.Claim(now, d.view))
 			held++
 		}
-		wake = minTime(wake, d.drive(ctx, now, p))
+		wake = times.Earlier(wake, d.drive(ctx, now, p))
 	}
 	d.follow(held > 0)
 	return max(time.Millisecond, wake.Sub(steady.Now()))
@@ -309,17 +310,3 @@
 		delete(d.clients, key)
 	}
 }
-
-func maxTime(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/store"
@@ -83,7 +84,7 @@
 		p := d.pools[name]
 		p.missed = p.missed || delta.Reset
 		if !p.missed && !p.loading {
-			p.read = maxTime(p.read, delta.Sent)
+			p.read = times.Later(p.read, delta.Sent)
 		}
 	}
 	for _, c := range delta.Changes {
