Give child processes of the system tests process groups of their own

Cause: TestFrozenGatewayAndController failed at times with 'process already finished': the frozen gateway had ended by SIGHUP (the new explanation of child.signal). The kernel hangs up a process group that loses the shell which started it while one of its processes is stopped; both failures were in runs in the background of a shell that ended in those 6 s.

--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -84,6 +84,9 @@
 	t.Helper()
 	c := &child{t: t, name: name, cmd: exec.Command(binary, args...), ended: make(chan error, 1), tail: make(chan []string, 1)}
 	c.tail <- nil
+	// The kernel sends SIGHUP to a process group that has lost the shell which
+	// started it while one of its processes is stopped.
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	out, in := io.Pipe()
 	c.cmd.Stdout, c.cmd.Stderr = in, in
 	require.NoError(t, c.cmd.Start())
@@ -168,3 +171,13 @@
 	}
 	return addrs
 }
+
+// A frozen gateway was ended by SIGHUP when the shell that had started the test
+// in the background ended (seed 12, twice).
+func TestChildrenHaveProcessGroupsOfTheirOwn(t *testing.T) {
+	c := start(t, "platform", standinReady, "standin", "platform", "--listen", "127.0.0.1:0")
+	group, err := syscall.Getpgid(c.cmd.Process.Pid)
+	require.NoError(t, err)
+	require.Equal(t, c.cmd.Process.Pid, group)
+	require.NotEqual(t, syscall.Getpgrp(), group)
+}
