--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -32,7 +32,9 @@
 
 // regressions are seeds that failed once, with the cause.
 var regressions = []uint64{
-	1, // the seed that CI always runs
+	1,   // the seed that CI always runs
+	104, // fault of the check: an end that a crashed worker forgot was taken for a later run's
+	203, // fault of the check: a task's start was seen before its job was noted
 }
 
 // Node processes that are stopped, paused, killed and cut off from the store and
--- a/internal/systemtest/soakload_test.go
+++ b/internal/systemtest/soakload_test.go
@@ -78,7 +78,9 @@
 		steps += fmt.Sprintf(`{"count":%d,"cpu":1500,"mem-mb":100%s"est-runtime-ms":250}`, j.width, after)
 	}
 	body := `{"spec":"soak","steps":[` + steps + `]}`
-	s.tell(func(c *soakCheck) { c.jobs[id] = j })
+	known := make(chan struct{})
+	s.tell(func(c *soakCheck) { c.jobs[id] = j; close(known) })
+	<-known // before its tasks can start
 	const attempts = 5
 	for range attempts {
 		n := random.IntN(len(s.nodes))
