--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,7 +44,6 @@
 	list     []*machine // by id
 	pools    map[string]*pool
 	names    []string
-	due      map[string]bool // machines whose upkeep is still to come
 	waves    map[int]*wave
 	listing  bool
 	listed   bool
@@ -283,8 +282,7 @@
 	return kept
 }
 
-// count brings the tallies of the pools and the machines that are due for
-// upkeep up to date.
+// count brings the tallies of the pools up to date.
 func (m *Machine) count() {
 	for _, p := range m.pools {
 		p.tally = tally{}
@@ -292,10 +290,6 @@
 	for _, x := range m.list {
 		m.tally(x, 1)
 	}
-	m.due = map[string]bool{}
-	for _, id := range m.Due() {
-		m.due[id] = true
-	}
 }
 
 // tally adds a machine to the counts of its pools, or with -1 takes it out.
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -16,8 +16,8 @@
 	// reserve is how many machines a pool keeps beyond its load.
 	reserve = 1
 	// chanceFactor times the square root of a pool's base is what it keeps between
-	// two peaks: 8 of 10 machines, 22 of 74. Measured against a third of the base,
-	// which costs small pools too much.
+	// two peaks: 8 of 10 machines, 22 of 74. A fixed part of the base leaves small
+	// pools short.
 	chanceFactor = 2.5
 	// surplusFor is how long a pool must have too many machines before some
 	// leave it. A move there and back costs what an idle machine in a pool
