Settle starts that may have reached the next life of their worker

Ruled out: the header that names the intended worker: its id is the same in both lives; the deadline of the start, which is on the clock of the old life. Change: runs whose start was sent since the old life's last answer pass to the new life; its holds list them, or a stop forbids them.

--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -423,3 +423,37 @@
 	w.unanswered()
 	require.True(t, w.suspect)
 }
+
+// A start that was under way while its worker started again was carried out by
+// the new life, and the task was started elsewhere beside it (seed 3026 of the
+// fault soak).
+func TestStartsMayReachTheNextLifeOfAWorker(t *testing.T) {
+	for name, arrives := range map[string]bool{"arrives": true, "is lost": false} {
+		r := newRig(t, 1, nil, newWorker("a"), newWorker("b"))
+		actions := r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
+		var s Start
+		for _, a := range actions {
+			if start, ok := a.(Start); ok {
+				s = start
+			}
+		}
+		w := r.workers[s.Life.ID]
+		w.Born++ // starts again before the order arrives
+		w.ends, w.ended, w.born = 0, nil, r.now.Add(-10*time.Millisecond)
+		if arrives {
+			w.running = []RunReport{{Task: s.Task, Attempt: s.Attempt}}
+		}
+		started := r.starts
+		r.step(r.listed())
+		r.pass(time.Second)
+		again := len(r.starts) - len(started)
+		if arrives {
+			require.Zero(t, again, name)
+			require.Empty(t, r.stops, name)
+			continue
+		}
+		require.Len(t, r.stops, 1, name)
+		require.Equal(t, 1, again, name)
+		require.Greater(t, r.starts[len(r.starts)-1].Attempt, s.Attempt, name)
+	}
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -116,10 +117,11 @@
 	}
 	for _, seen := range list {
 		w, ok := m.workers[seen.ID]
+		var former *worker
 		if ok && w.Born != seen.Born && seen.Born != 0 {
 			m.decide("worker-reborn", fmt.Sprintf("a life that began at %d is registered", seen.Born), nil, w, 0)
-			m.dropRuns(now, w)
-			ok = false
+			m.dropRunsOfLife(now, w)
+			former, ok = w, false
 		}
 		if !ok {
 			w = &worker{nextHold: now, blames: map[string]bool{}}
@@ -132,6 +134,9 @@
 			seen.Born = w.Born // not told this time
 		}
 		w.Worker, w.listed = seen, true
+		if former != nil {
+			m.inherit(now, w, former)
+		}
 	}
 	m.changed = true
 	m.sortWorkers()
@@ -248,7 +253,9 @@
 		return
 	}
 	if e.Report.Born != 0 && w.Born != 0 && e.Report.Born != w.Born {
-		m.endLife(now, w, "the worker has started again")
+		m.decide("worker-gone", "the worker has started again", nil, w, 0)
+		w.gone = true
+		m.dropRunsOfLife(now, w)
 		return
 	}
 	if w.suspect {
@@ -307,6 +314,39 @@
 	m.changed = true
 }
 
+// mayFollow reports whether a run may be in the worker's next life. An order
+// names the worker by its id, which stays when it starts again: a start that was
+// sent since the last answer of the old life may have been carried out by the new
+// one.
+func (r *run) mayFollow() bool { return r.acked.IsZero() || r.sent.After(r.worker.lastHold) }
+
+// dropRunsOfLife gives up the runs that ended with a life of a worker.
+func (m *Machine) dropRunsOfLife(now time.Time, w *worker) {
+	for _, r := range slices.Clone(w.runs) {
+		if !r.mayFollow() {
+			m.drop(now, r)
+		}
+	}
+	m.changed = true
+}
+
+// inherit passes the runs that are left of a worker's former life to the new
+// one, whose holds settle them.
+func (m *Machine) inherit(now time.Time, w, former *worker) {
+	if len(former.runs) == 0 {
+		return
+	}
+	// The deadlines of the starts were on the former life's clock, so each may
+	// still begin, and then has a whole lease.
+	w.leaseEnd = now.Add(2 * stretchLease(m.cfg.Lease))
+	w.runs, former.runs = former.runs, nil
+	for _, r := range w.runs {
+		r.worker, r.state, r.unanswered, r.deadline = w, unsettled, now, math.MaxInt64
+		r.acked, r.stopSent, r.stopAcked = time.Time{}, time.Time{}, time.Time{}
+		w.taken = w.taken.Plus(r.task.step.takes())
+	}
+}
+
 // drop forgets a run that has ended or never began.
 func (m *Machine) drop(now time.Time, r *run) {
 	t, w := r.task, r.worker
