node/pools: count steps, holds and the wait of answers

The metrics did not tell whether a pool's owner keeps up with its workers: neither the time of the engine's steps nor how long answers of workers wait for the duty. Counters of steps, their events and time, holds, answers and their wait show it.

--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -60,7 +60,10 @@
 		events, p.events = splitNewJobs(events)
 	}
 	p.engine.Pause(!d.jobsAreCurrent(now, p))
-	for _, a := range p.engine.Step(now, time.Now().UnixMilli(), events...) {
+	began := time.Now()
+	actions := p.engine.Step(now, began.UnixMilli(), events...)
+	d.load.recordStep(time.Since(began), len(events))
+	for _, a := range actions {
 		d.execute(ctx, p, a)
 		if p.engine == nil {
 			return
@@ -110,10 +113,13 @@
 // pool is given up.
 func (d *Duty) execute(ctx context.Context, p *pool, a engine.Action) {
 	name, token := p.Name, p.Control.Token
-	reply := func(e engine.Event) { d.postResult(ctx, callAnswered{pool: name, token: token, event: e}) }
+	reply := func(e engine.Event) {
+		d.postResult(ctx, callAnswered{pool: name, token: token, event: e, answered: time.Now()})
+	}
 	switch a := a.(type) {
 	case engine.Hold:
 		w := d.workerClient(a.Target)
+		d.load.holds.Inc(1)
 		d.callPool.Go(func() {
 			sent := steady.Now()
 			report, result, err := w.Hold(ctx, a, holdTimeout)
@@ -122,7 +128,7 @@
 		})
 	case engine.Start:
 		w := d.workerClient(a.Target)
-		d.Metrics.Counter("pools.starts").Inc(1)
+		d.load.starts.Inc(1)
 		d.callPool.Go(func() {
 			result, err := w.Start(ctx, a)
 			d.recordCall("start", result, err, a.Incarnation.ID)
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -62,9 +62,10 @@
 		err          error
 	}
 	callAnswered struct {
-		pool  string
-		token uint64
-		event engine.Event
+		pool     string
+		token    uint64
+		event    engine.Event
+		answered time.Time // when the call ended
 	}
 )
 
@@ -90,6 +91,7 @@
 	case jobsRead:
 		d.handleJobsRead(r)
 	case callAnswered:
+		d.load.recordWait(time.Since(r.answered))
 		if p := d.pools[r.pool]; p.engine != nil && p.Control.Token == r.token {
 			p.addEvent(r.event)
 		}
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -98,6 +98,7 @@
 	Release        *ring.Ring[struct{}] // makes the duty release all pools
 	stateRequester *duty.StateRequester
 	results        *ring.Ring[any]
+	load           loadMetrics
 	callPool       pond.Pool
 	storePool      pond.Pool
 
@@ -122,6 +123,7 @@
 		Release:        ring.New[struct{}]("pool-release", 1, ring.Refuse),
 		stateRequester: duty.NewStateRequester("pools"),
 		results:        ring.New[any]("pool-results", resultQueueSize, ring.Wait),
+		load:           newLoadMetrics(o.Metrics),
 		callPool:       pond.NewPool(maxWorkerCalls),
 		storePool:      pond.NewPool(maxStoreCalls),
 		pools:          map[string]*pool{}, registry: newRegistry(), clients: map[clientKey]Worker{},
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/node/holder"
@@ -165,7 +166,7 @@
 }
 
 func newDuty() *Duty {
-	return New(Options{Self: "n", Decode: worker.Decode, Log: hclog.NewNullLogger()})
+	return New(Options{Self: "n", Decode: worker.Decode, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
 }
 
 // Live workers were removed because their registrations had lapsed during an
