engine: keep a step from walking all jobs and all runs

Each step walked all jobs three times and all runs of all workers once, although one event changes one worker and one job.

Steps now keep what they need: the jobs whose occurrences are not created yet, those that may have ended, those that have ended, the idle tasks of a step and the best-effort runs of a worker. The decisions stay the same.

The test harness compares the indexes with a walk after each step of every scenario. Two tests guard against jobs that are never completed or never dropped because no index names them.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -91,6 +91,7 @@
 		for _, a := range actions {
 			events = append(events, r.answer(a)...)
 		}
+		r.checkIndexes()
 		writeNow := r.m.LoadRowUrgent()
 		b := r.m.Collect(100, true)
 		if len(b.Jobs) > 0 || writeNow || round == 0 {
--- /dev/null
+++ b/engine/index_test.go
@@ -0,0 +1,79 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+// checkIndexes compares what the scheduler keeps to avoid a walk over all jobs
+// and runs with the result of such a walk.
+func (r *harness) checkIndexes() {
+	if r.t == nil {
+		return // a benchmark
+	}
+	for _, w := range r.m.workers {
+		n := 0
+		for _, run := range w.runs {
+			if run.task.step.spec.BestEffort {
+				n++
+			}
+		}
+		require.Equal(r.t, n, w.bestEffortRuns, "best-effort runs of %s", w.ID)
+	}
+	var ended []*job
+	require.Len(r.t, r.m.arrivalOrder, len(r.m.jobs))
+	for _, j := range r.m.arrivalOrder {
+		require.Same(r.t, j, r.m.jobs[j.submission.ID])
+		if j.state.Ended() {
+			ended = append(ended, j)
+			continue
+		}
+		if j.nextOccurrence < j.occurrenceCount() {
+			require.Contains(r.t, r.m.unopened, j)
+		}
+		for _, o := range j.openOccurrences {
+			require.Positive(r.t, o.openSteps, "occurrence %d of %s is done but open", o.number, j.submission.ID)
+			for _, s := range o.steps {
+				idle := 0
+				for _, t := range s.tasks {
+					if !t.done && len(t.runs) == 0 {
+						idle++
+					}
+				}
+				require.Equal(r.t, idle, s.idleTasks, "idle tasks of step %d of %s", s.index, j.submission.ID)
+			}
+		}
+	}
+	require.ElementsMatch(r.t, ended, r.m.endedJobs)
+}
+
+// A job that a new owner reads from the store with all tasks done, but not as
+// ended, never completed: no end of a run followed that could complete it.
+func TestRecoveredJobWithAllTasksDoneCompletes(t *testing.T) {
+	r := newHarness(t, 2, nil, newWorker("a"))
+	e := testJob("0000000000000001", simpleStep(1))
+	e.Recovered = true
+	e.Progress = &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{{Done: true, LastAttempt: 1}}}
+	r.step(e)
+	r.advance(100 * time.Millisecond)
+	require.Equal(t, workload.Completed, r.m.ended[e.Submission.ID])
+	require.Empty(t, r.starts)
+}
+
+// Jobs that had ended stayed in memory when nothing was placed after their end
+// was stored.
+func TestEndedJobIsDroppedOnceStored(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("0000000000000001", simpleStep(2)))
+	for _, s := range r.starts {
+		r.workers["a"].endRun(s.Task, s.Attempt, EndDone)
+	}
+	r.advance(time.Second)
+	require.Empty(t, r.m.jobs)
+	require.Empty(t, r.m.arrivalOrder)
+	require.Empty(t, r.m.endedJobs)
+}
--- a/engine/job.go
+++ b/engine/job.go
@@ -20,6 +20,7 @@
 	finishedOccurrences map[int]bool            // numbers of the occurrences from firstOpen on that have ended
 	dirty               bool                    // has changes that no batch contains
 	storing             bool                    // is part of the batch being stored
+	dropped             bool                    // has been removed from the scheduler
 	endedAt             int64                   // Unix ms
 	storedProgress      []workload.TaskProgress // progress of the tasks as stored by a former owner
 }
@@ -40,6 +41,7 @@
 	spec          *workload.Step
 	tasks         []*task
 	openTasks     int               // tasks that are not done
+	idleTasks     int               // tasks that are not done and have no run
 	criticalPath  time.Duration     // longest chain of estimates that starts with this step
 	runsPerWorker map[string]int    // by worker ID
 	tickets       map[string]ticket // by worker ID
@@ -131,7 +133,7 @@
 	j.nextOccurrence++
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
-		s := &step{occ: o, index: i, spec: spec, openTasks: spec.Count, runsPerWorker: map[string]int{}, tickets: map[string]ticket{}}
+		s := &step{occ: o, index: i, spec: spec, openTasks: spec.Count, idleTasks: spec.Count, runsPerWorker: map[string]int{}, tickets: map[string]ticket{}}
 		for n := range spec.Count {
 			s.tasks = append(s.tasks, &task{step: s, id: workload.TaskID{Job: j.submission.ID, Occurrence: o.number, Step: i, Index: n}})
 		}
@@ -176,10 +178,16 @@
 	t.countedFailures = append(t.countedFailures, attempt)
 }
 
+// isIdle reports whether the task is not done and has no run.
+func (t *task) isIdle() bool { return !t.done && len(t.runs) == 0 }
+
 func (t *task) markDone() {
 	if t.done {
 		return
 	}
+	if t.isIdle() {
+		t.step.idleTasks--
+	}
 	t.done = true
 	t.step.openTasks--
 	if t.step.openTasks == 0 {
--- a/engine/place.go
+++ b/engine/place.go
@@ -150,7 +150,7 @@
 		}
 		for _, o := range j.openOccurrences {
 			for _, s := range o.steps {
-				if s.openTasks > 0 && s.ready() && m.hasStartable(now, s) {
+				if s.idleTasks > 0 && s.ready() && m.hasStartable(now, s) {
 					c := m.newCandidate(now, s)
 					c.arrivalOrder = len(list)
 					list = append(list, c)
--- a/engine/run.go
+++ b/engine/run.go
@@ -58,6 +58,9 @@
 		}
 	}
 	t.markDone()
+	if t.step.openTasks == 0 {
+		m.toClose = append(m.toClose, t.step.occ.job)
+	}
 	for _, other := range t.runs {
 		m.stopRun(other, "another run is done")
 	}
@@ -137,9 +140,15 @@
 }
 
 func (m *Scheduler) addRun(r *run) {
+	if r.task.isIdle() {
+		r.task.step.idleTasks--
+	}
 	r.task.runs = append(r.task.runs, r)
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.used = r.worker.used.Plus(r.task.step.demand())
+	if r.task.step.spec.BestEffort {
+		r.worker.bestEffortRuns++
+	}
 	r.task.step.runsPerWorker[r.worker.ID]++
 }
 
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -10,6 +10,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/workload"
@@ -33,6 +34,9 @@
 	queues          map[string]workload.Queue
 	jobs            map[string]*job
 	arrivalOrder    []*job                       // jobs in the order of their arrival
+	unopened        []*job                       // jobs with occurrences that have not been created yet
+	toClose         []*job                       // jobs that may have occurrences whose steps are all done
+	endedJobs       []*job                       // jobs in jobs that have ended
 	ended           map[string]workload.JobState // final states of jobs that are not in jobs any more
 	workers         map[string]*worker
 	sortedWorkers   []*worker            // workers, sorted by ID
@@ -209,6 +213,8 @@
 	j := newJob(now, m.wallMs, e, queue)
 	m.jobs[id] = j
 	m.arrivalOrder = append(m.arrivalOrder, j)
+	m.unopened = append(m.unopened, j)
+	m.toClose = append(m.toClose, j)
 	m.needsPlacement = true
 }
 
@@ -223,6 +229,7 @@
 // endJob sets the job's final state and stops its remaining runs.
 func (m *Scheduler) endJob(j *job, state workload.JobState, why string) {
 	j.state, j.endedAt, j.dirty = state, m.wallMs, true
+	m.endedJobs = append(m.endedJobs, j)
 	m.emit(Decision{What: "job-" + string(state), Job: j.submission.ID, Why: why})
 	for _, o := range j.openOccurrences {
 		for _, s := range o.steps {
@@ -238,29 +245,31 @@
 
 // openDueOccurrences creates the occurrences that are due.
 func (m *Scheduler) openDueOccurrences(now time.Time) {
-	for _, j := range m.arrivalOrder {
+	m.unopened = slices.DeleteFunc(m.unopened, func(j *job) bool {
 		if j.state.Ended() {
-			continue
+			return true
 		}
 		for j.nextOccurrence < j.occurrenceCount() {
 			due := j.dueAt(j.nextOccurrence)
 			if due > m.wallMs {
 				m.wakeAt(now.Add(time.Duration(due-m.wallMs) * time.Millisecond))
-				break
+				return false
 			}
 			if j.finishedOccurrences[j.nextOccurrence] {
 				j.nextOccurrence++
 				continue
 			}
 			j.openNext(now)
+			m.toClose = append(m.toClose, j) // its stored progress may show that all tasks are done
 			m.needsPlacement = true
 		}
-	}
+		return true
+	})
 }
 
 // closeFinished closes occurrences, and then jobs, of which all tasks are done.
 func (m *Scheduler) closeFinished(now time.Time) {
-	for _, j := range m.arrivalOrder {
+	for _, j := range m.toClose {
 		if j.state.Ended() {
 			continue
 		}
@@ -281,22 +290,26 @@
 			m.endJob(j, workload.Completed, "all tasks are done")
 		}
 	}
+	clear(m.toClose)
+	m.toClose = m.toClose[:0]
 }
 
 // dropEndedJobs removes jobs that have ended, whose final state is stored and
 // that have no runs left.
 func (m *Scheduler) dropEndedJobs() {
-	kept := m.arrivalOrder[:0]
-	for _, j := range m.arrivalOrder {
-		if j.state.Ended() && !j.dirty && !j.storing && !j.hasRuns() {
-			m.ended[j.submission.ID] = j.state
-			delete(m.jobs, j.submission.ID)
-			continue
+	remaining := len(m.endedJobs)
+	m.endedJobs = slices.DeleteFunc(m.endedJobs, func(j *job) bool {
+		if j.dirty || j.storing || j.hasRuns() {
+			return false
 		}
-		kept = append(kept, j)
+		m.ended[j.submission.ID] = j.state
+		delete(m.jobs, j.submission.ID)
+		j.dropped = true
+		return true
+	})
+	if len(m.endedJobs) < remaining {
+		m.arrivalOrder = slices.DeleteFunc(m.arrivalOrder, func(j *job) bool { return j.dropped })
 	}
-	clear(m.arrivalOrder[len(kept):])
-	m.arrivalOrder = kept
 }
 
 // hasRuns reports whether the job still has runs at workers.
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -170,7 +170,7 @@
 // latencies of the serving tasks at the same worker.
 func (m *Scheduler) adjustThrottling() {
 	for _, w := range m.sortedWorkers {
-		if w.suspect || w.lastHoldSent.IsZero() || w.holdPending {
+		if w.bestEffortRuns == 0 || w.suspect || w.lastHoldSent.IsZero() || w.holdPending {
 			continue
 		}
 		worstRatio := 0.0
@@ -241,12 +241,7 @@
 // HasJobEnds reports whether the end of a job is to be stored, for which
 // callers are waiting.
 func (m *Scheduler) HasJobEnds() bool {
-	for _, j := range m.arrivalOrder {
-		if j.dirty && j.state.Ended() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.endedJobs, func(j *job) bool { return j.dirty })
 }
 
 // LoadRowUrgent reports whether the load row must be written at once, for a new
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -57,6 +57,7 @@
 	synced           bool // has answered a hold with this owner's token
 	inLoadRow        bool // the load row in the store names it
 	runs             []*run
+	bestEffortRuns   int            // number of runs of best-effort tasks
 	used             placement.Size // capacity that the runs take
 	clockMs          int64          // reading of the worker's clock in ms, received at clockAt
 	clockAt          time.Time
@@ -354,6 +355,7 @@
 	// each run may still begin and then last for a whole lease.
 	w.leaseEnd = now.Add(2 * maxLocalLease(m.cfg.Lease))
 	w.runs, former.runs = former.runs, nil
+	w.bestEffortRuns, former.bestEffortRuns = former.bestEffortRuns, 0
 	for _, r := range w.runs {
 		r.worker, r.state, r.timedOutAt, r.startDeadline = w, unconfirmed, now, math.MaxInt64
 		r.confirmedAt, r.stopAnswered, r.stopAcked = time.Time{}, time.Time{}, time.Time{}
@@ -365,8 +367,14 @@
 func (m *Scheduler) removeRun(now time.Time, r *run) {
 	t, w := r.task, r.worker
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	if t.isIdle() {
+		t.step.idleTasks++
+	}
 	w.runs = slices.DeleteFunc(w.runs, func(o *run) bool { return o == r })
 	w.used = w.used.Minus(t.step.demand())
+	if t.step.spec.BestEffort {
+		w.bestEffortRuns--
+	}
 	if n := t.step.runsPerWorker[w.ID]; n > 1 {
 		t.step.runsPerWorker[w.ID] = n - 1
 	} else {
