engine: run no placement pass for answers that change nothing

Each answered hold and each accepted start requested a placement pass, which walks all jobs, although a pass can only place something when capacity, a job or a step has changed. Such answers are most of the events of a busy pool. A pass is now requested by an end, a changed worker, a refused start, or while steps wait that found no worker. The list of candidates is reused from pass to pass.

TestAnswersWithoutChangeRequestNoPlacement failed before at the first hold. TestUnknownRunThatCompletesAStepRequestsPlacement guards a step that only the former passes would have started.

--- a/engine/index_test.go
+++ b/engine/index_test.go
@@ -77,3 +77,41 @@
 	require.Empty(t, r.m.arrivalOrder)
 	require.Empty(t, r.m.endedJobs)
 }
+
+// A placement pass ran for each answered hold and start, although none of them
+// had changed what can be placed.
+func TestAnswersWithoutChangeRequestNoPlacement(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("0000000000000001", simpleStep(2)))
+	require.Len(t, r.starts, 2)
+	require.False(t, r.m.needsPlacement)
+	w := r.workers["a"]
+	hold := func() { r.m.handleEvent(r.now, r.answerHold(Hold{Target: r.starts[0].Target})) }
+	hold()
+	require.False(t, r.m.needsPlacement, "a hold that lists the same runs")
+	w.endRun(r.starts[0].Task, r.starts[0].Attempt, EndDone)
+	hold()
+	require.True(t, r.m.needsPlacement, "a hold that lists an end")
+}
+
+// A step whose dependency was completed by the end of a run that this owner does
+// not know would wait until something else requests a placement pass.
+func TestUnknownRunThatCompletesAStepRequestsPlacement(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	second := simpleStep(1)
+	second.After = []int{0}
+	r.step(testJob("0000000000000001", simpleStep(1), second))
+	w, first := r.workers["a"], r.starts[0]
+	w.running, w.lastEnd = nil, w.lastEnd+1
+	w.ended = append(w.ended, EndReport{Number: w.lastEnd, Task: first.Task, Attempt: first.Attempt + 7, Reason: EndDone})
+	r.advance(time.Second)
+	require.Contains(t, startedTasks(r), workload.TaskID{Job: first.Task.Job, Step: 1})
+}
+
+func startedTasks(r *harness) []workload.TaskID {
+	var list []workload.TaskID
+	for _, s := range r.starts {
+		list = append(list, s.Task)
+	}
+	return list
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -52,7 +52,7 @@
 		return
 	}
 	m.dropEndedJobs()
-	m.needsPlacement, m.shortfall = false, 0
+	m.needsPlacement, m.shortfall, m.unplacedSteps = false, 0, 0
 	var unplaceable []placement.Size
 	clear(m.reserved)
 	list := m.candidates(now)
@@ -61,12 +61,14 @@
 	for _, c := range list {
 		s := c.step
 		if s.spec.Gang {
+			m.unplacedSteps++
 			m.placeGang(now, s)
 			continue
 		}
 		unconstrained := s.spec.MaxPerWorker == 0 && s.spec.Label == "" && s.occ.job.queue.Policy == nil && !s.spec.BestEffort
 		if unconstrained && slices.ContainsFunc(unplaceable, func(r placement.Size) bool { return r.Fits(s.spec.Size) }) {
 			m.addShortfall(now, c)
+			m.unplacedSteps++
 			continue
 		}
 		placed, allPlaced := m.placeStep(now, s)
@@ -77,6 +79,7 @@
 			continue
 		}
 		m.addShortfall(now, c)
+		m.unplacedSteps++
 		if c.urgency == serving {
 			m.reserveWorker(s)
 		}
@@ -84,6 +87,7 @@
 			unplaceable = append(unplaceable, s.spec.Size)
 		}
 	}
+	clear(list) // the buffer must not keep jobs that have ended
 }
 
 // reserveWorker keeps one worker free of further finite tasks until a
@@ -143,7 +147,7 @@
 
 // candidates returns the steps with waiting tasks in placement order.
 func (m *Scheduler) candidates(now time.Time) []candidate {
-	var list []candidate
+	list := m.candidateBuffer[:0]
 	for _, j := range m.arrivalOrder {
 		if j.state.Ended() {
 			continue
@@ -161,6 +165,7 @@
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), cmp.Compare(a.remainingWork, b.remainingWork), a.latestStart.Compare(b.latestStart), cmp.Compare(a.arrivalOrder, b.arrivalOrder))
 	})
+	m.candidateBuffer = list
 	return list
 }
 
--- a/engine/run.go
+++ b/engine/run.go
@@ -59,6 +59,7 @@
 	}
 	t.markDone()
 	if t.step.openTasks == 0 {
+		m.needsPlacement = true // steps that depend on this one
 		m.toClose = append(m.toClose, t.step.occ.job)
 	}
 	for _, other := range t.runs {
@@ -198,10 +199,10 @@
 	if r == nil || r.state != starting && r.state != stopping {
 		return
 	}
-	m.needsPlacement = true
 	if e.Result != Unknown && e.Result != NotDelivered {
 		w.unansweredOrders = 0
 	}
+	m.needsPlacement = m.needsPlacement || e.Result != OK
 	switch e.Result {
 	case OK:
 		r.confirmedAt = now
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -49,6 +49,8 @@
 	storedLoad      int                  // load in the last load row written, in thousandths of a core
 	needsPlacement  bool                 // something that placement depends on has changed
 	waitingSteps    int                  // number of candidates in the last placement pass
+	unplacedSteps   int                  // number of those of which the pass left tasks waiting
+	candidateBuffer []candidate          // reused by the placement passes
 	nextPlacement   time.Time            // earliest time of the next placement pass
 	nextSupervision time.Time            // earliest time of the next check of all runs
 	noMovesBefore   time.Time            // until then no long-running task is moved off a machine to be released
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -341,6 +341,7 @@
 	if !e.OK {
 		return
 	}
+	m.needsPlacement = m.needsPlacement || len(m.endedJobs) > 0 // a pass drops ended jobs
 	for incarnation, n := range e.Batch.lastEnds {
 		if w := m.findWorker(incarnation); w != nil {
 			w.lastEndStored = max(w.lastEndStored, n)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -246,7 +246,9 @@
 		return
 	}
 	w.holdPending = false
-	m.needsPlacement = true
+	// Steps that found no worker may depend on what only time changes, such as a
+	// ticket that expires. Ends request a placement pass themselves.
+	m.needsPlacement = m.needsPlacement || !w.synced || w.suspect || m.unplacedSteps > 0
 	switch e.Result {
 	case OK:
 	case Fenced:
