--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"time"
 
@@ -152,6 +153,9 @@
 			reply <- d.report()
 		case <-timer.C:
 		}
+		// A goroutine that posts a result makes this one run next. Those whose calls
+		// have been answered too post theirs first, so that all share one step.
+		runtime.Gosched()
 		d.handlePending()
 		timer.Reset(d.runDue(ctx))
 	}
