engine: look at fewer tasks and workers in a placement pass

A pass looked at each task of each waiting step twice, recomputed the objective's chain of estimates, and searched all workers for each step with a limit per worker, also when steps of the same size had already found no room. It now uses the step's count of idle tasks unless one of them must wait, keeps the chain with the occurrence, and applies the check of sizes to limited steps too: a limit only reduces the workers that a step may use. The decisions stay the same.

TestShortfallCountsTasksThatMayStart and TestLimitedStepStartsOnceThereIsRoom guard the counts and the check; both hold before and after.

--- a/engine/index_test.go
+++ b/engine/index_test.go
@@ -115,3 +115,45 @@
 	}
 	return list
 }
+
+// The capacity that waiting tasks lack is what the fleet's owner moves machines
+// by. It must not count tasks that may not start yet.
+func TestShortfallCountsTasksThatMayStart(t *testing.T) {
+	w := newWorker("a")
+	w.Capacity.MilliCores = 2 * simpleStep(1).Size.MilliCores
+	r := newHarness(t, 1, nil, w)
+	r.step(testJob("0000000000000001", simpleStep(5)))
+	require.Len(t, r.starts, 2)
+	require.Equal(t, 3*simpleStep(1).Size.MilliCores, r.m.shortfall)
+
+	w = newWorker("a")
+	w.startResult = Invalid
+	r = newHarness(t, 1, nil, w)
+	r.step(testJob("0000000000000002", simpleStep(3)))
+	started := len(r.starts)
+	require.Positive(t, started)
+	require.Zero(t, r.m.shortfall, "all tasks wait for their next attempt")
+	r.advance(900 * time.Millisecond)
+	require.Len(t, r.starts, started)
+	r.advance(300 * time.Millisecond)
+	require.Greater(t, len(r.starts), started)
+}
+
+// Guards against a step with a limit per worker that is passed over, like those that
+// fit nowhere, although there is room again.
+func TestLimitedStepStartsOnceThereIsRoom(t *testing.T) {
+	w := newWorker("a")
+	w.Capacity.MilliCores = simpleStep(1).Size.MilliCores
+	r := newHarness(t, 1, nil, w)
+	limited := simpleStep(2)
+	limited.MaxPerWorker = 1
+	r.step(testJob("0000000000000001", simpleStep(2)), testJob("0000000000000002", limited))
+	require.Len(t, r.starts, 1)
+	require.Equal(t, 3*simpleStep(1).Size.MilliCores, r.m.shortfall)
+	for range 3 {
+		s := r.starts[len(r.starts)-1]
+		w.endRun(s.Task, s.Attempt, EndDone)
+		r.advance(500 * time.Millisecond)
+	}
+	require.Len(t, r.starts, 4, "the limited step must start once there is room")
+}
--- a/engine/job.go
+++ b/engine/job.go
@@ -31,7 +31,8 @@
 	number    int
 	due       time.Time
 	steps     []*step
-	openSteps int // steps that are not done
+	openSteps int           // steps that are not done
+	chain     time.Duration // longest chain of estimates of its steps
 }
 
 // step is the state of one step of an occurrence.
@@ -42,6 +43,7 @@
 	tasks         []*task
 	openTasks     int               // tasks that are not done
 	idleTasks     int               // tasks that are not done and have no run
+	allFrom       time.Time         // latest notBefore of its tasks
 	criticalPath  time.Duration     // longest chain of estimates that starts with this step
 	runsPerWorker map[string]int    // by worker ID
 	tickets       map[string]ticket // by worker ID
@@ -146,6 +148,9 @@
 			o.steps[dependency].criticalPath = max(o.steps[dependency].criticalPath, s.criticalPath)
 		}
 	}
+	for _, s := range o.steps {
+		o.chain = max(o.chain, s.criticalPath)
+	}
 	j.openOccurrences = append(j.openOccurrences, o)
 	j.restoreProgress(o)
 	return o
@@ -213,13 +218,15 @@
 	return t.runAdopted || !t.step.occ.job.recovered || m.takeoverComplete()
 }
 
+// allIdleCanStart reports whether canStart certainly holds for all idle tasks of
+// the step.
+func (m *Scheduler) allIdleCanStart(now time.Time, s *step) bool {
+	return !now.Before(s.allFrom) && (!s.occ.job.recovered || m.takeoverComplete())
+}
+
 // objective returns the time by which the occurrence should have ended.
 func (o *occurrence) objective() time.Time {
-	var chain time.Duration
-	for _, s := range o.steps {
-		chain = max(chain, s.criticalPath)
-	}
-	return o.due.Add(time.Duration(float64(chain)*o.job.queue.Stretch) + o.job.queue.Target)
+	return o.due.Add(time.Duration(float64(o.chain)*o.job.queue.Stretch) + o.job.queue.Target)
 }
 
 // findRun returns the task's run with the given attempt number at a worker, or
--- a/engine/place.go
+++ b/engine/place.go
@@ -66,7 +66,9 @@
 			continue
 		}
 		unconstrained := s.spec.MaxPerWorker == 0 && s.spec.Label == "" && s.occ.job.queue.Policy == nil && !s.spec.BestEffort
-		if unconstrained && slices.ContainsFunc(unplaceable, func(r placement.Size) bool { return r.Fits(s.spec.Size) }) {
+		// Constraints only reduce the workers that a step may use.
+		needsRoom := unconstrained || s.occ.job.queue.Policy == nil && !s.spec.LongRunning
+		if needsRoom && slices.ContainsFunc(unplaceable, func(r placement.Size) bool { return r.Fits(s.spec.Size) }) {
 			m.addShortfall(now, c)
 			m.unplacedSteps++
 			continue
@@ -138,6 +140,10 @@
 	if c.urgency == bestEffort {
 		return
 	}
+	if m.allIdleCanStart(now, c.step) {
+		m.shortfall += c.step.idleTasks * c.step.spec.Size.MilliCores
+		return
+	}
 	for _, t := range c.step.tasks {
 		if m.canStart(now, t) {
 			m.shortfall += c.step.spec.Size.MilliCores
@@ -170,6 +176,9 @@
 }
 
 func (m *Scheduler) hasStartable(now time.Time, s *step) bool {
+	if m.allIdleCanStart(now, s) {
+		return s.idleTasks > 0
+	}
 	found := false
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 {
@@ -479,15 +488,3 @@
 		}
 	}
 }
-
-// Waiting returns, by queue, the number of jobs without a schedule of which no
-// task has started.
-func (m *Scheduler) Waiting() map[string]int {
-	counts := map[string]int{}
-	for _, j := range m.arrivalOrder {
-		if j.state == workload.Queued && j.submission.Repeat.Count == 0 {
-			counts[j.submission.Queue.Name]++
-		}
-	}
-	return counts
-}
--- a/engine/run.go
+++ b/engine/run.go
@@ -241,6 +241,7 @@
 		w.quarantinedUntil = now.Add(minQuarantine)
 	case Invalid:
 		t.notBefore = now.Add(time.Second)
+		t.step.allFrom = t.notBefore
 	}
 	m.logDecision("start-refused", e.Result.String(), t, w, e.Attempt)
 	m.removeRun(now, r)
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -229,6 +229,18 @@
 	return list
 }
 
+// Waiting returns, by queue, the number of jobs without a schedule of which no
+// task has started.
+func (m *Scheduler) Waiting() map[string]int {
+	counts := map[string]int{}
+	for _, j := range m.arrivalOrder {
+		if j.state == workload.Queued && j.submission.Repeat.Count == 0 {
+			counts[j.submission.Queue.Name]++
+		}
+	}
+	return counts
+}
+
 // Batch is the state to store in one transaction.
 type Batch struct {
 	Jobs      map[string]workload.Progress
