--- a/peer/jsoncall/jsoncall.go
+++ b/peer/jsoncall/jsoncall.go
@@ -73,8 +73,10 @@
 	Args   [3][2]string // query arguments; empty names are left out
 	JSON   any          // body, encoded as JSON
 	Raw    []byte       // body instead of JSON
-	Writes bool         // the call may change the host's state
-	Header [3][2]string // further headers; empty names are left out
+	// Encoded is a body that is JSON already, instead of JSON.
+	Encoded []byte
+	Writes  bool         // the call may change the host's state
+	Header  [3][2]string // further headers; empty names are left out
 	// Timeout replaces the client's timeout if it is not zero.
 	Timeout time.Duration
 	// Decode reads the body of a response with status 200. It must not retain the
@@ -164,6 +166,11 @@
 			req.Header.Set(h[0], h[1])
 		}
 	}
+	if call.Encoded != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(call.Encoded)
+		return nil
+	}
 	if call.JSON != nil {
 		req.Header.SetContentType("application/json")
 		return json.NewEncoder(req.BodyWriter()).Encode(call.JSON)
