logging: keep writes of several lines within what a pipe keeps whole

A write now has at most 4,096 bytes (PIPE_BUF) of whole lines.

TestWriterCombinesQueuedLines checks the size and the end of each write; it failed before with 4 writes for 1,000 lines of 100 bytes instead of 25.

--- a/logging/writer.go
+++ b/logging/writer.go
@@ -14,9 +14,10 @@
 // counted.
 const maxQueuedLines = 4096
 
-// maxBatchBytes is the size from which a batch of lines is written without further
-// lines.
-const maxBatchBytes = 32 << 10
+// maxBatchBytes is the maximum size of a write of several lines. A pipe keeps
+// writes up to 4,096 bytes whole (PIPE_BUF), so that a reader of several processes
+// never sees a line interrupted by one of another process.
+const maxBatchBytes = 4096
 
 // Writer writes lines to another writer asynchronously in its own duty, so that a
 // stalled reader of the log does not block the goroutines that log.
@@ -69,24 +70,32 @@
 	}
 }
 
-// write writes a line together with the lines that are queued.
+// write writes a line and those that are queued, with as many whole lines in a
+// write as fit.
 func (w *Writer) write(line []byte) error {
 	w.batch = w.batch[:0]
 	if n := w.dropped.Swap(0); n > 0 {
 		w.batch = fmt.Appendf(w.batch, "{\"@level\":\"warn\",\"@message\":\"log lines were dropped\",\"count\":%d}\n", n)
 	}
-	w.batch = append(w.batch, line...)
-	for len(w.batch) < maxBatchBytes {
+	for {
+		if len(w.batch) > 0 && len(w.batch)+len(line) > maxBatchBytes {
+			if err := w.writeBatch(); err != nil {
+				return err
+			}
+		}
+		w.batch = append(w.batch, line...)
 		select {
 		case line = <-w.lines.C():
-			w.batch = append(w.batch, line...)
-			continue
 		default:
+			return w.writeBatch()
 		}
-		break
 	}
+}
+
+func (w *Writer) writeBatch() error {
 	if _, err := w.out.Write(w.batch); err != nil {
 		return fmt.Errorf("write log lines: %w", err)
 	}
+	w.batch = w.batch[:0]
 	return nil
 }
--- a/logging/writer_test.go
+++ b/logging/writer_test.go
@@ -31,15 +31,20 @@
 type countingOutput struct {
 	bytes.Buffer
 	writes, largest int
+	cutLines        int // writes that do not end with a line
 }
 
 func (c *countingOutput) Write(p []byte) (int, error) {
 	c.writes++
 	c.largest = max(c.largest, len(p))
+	if !bytes.HasSuffix(p, []byte("\n")) {
+		c.cutLines++
+	}
 	return c.Buffer.Write(p)
 }
 
-// A burst of lines cost one system call for each line.
+// A burst of lines cost one system call for each line. With writes larger than a
+// pipe keeps whole, the lines of several processes were mixed with one another.
 func TestWriterCombinesQueuedLines(t *testing.T) {
 	var out countingOutput
 	w := NewWriter(&out)
@@ -50,6 +55,7 @@
 	}
 	require.NoError(t, w.flush())
 	require.Equal(t, bytes.Repeat(line, 1000), out.Bytes())
-	require.Equal(t, 4, out.writes)
-	require.LessOrEqual(t, out.largest, maxBatchBytes+len(line))
+	require.Equal(t, 25, out.writes)
+	require.LessOrEqual(t, out.largest, 4096)
+	require.Zero(t, out.cutLines)
 }
