standin/users: read a worker's start time in the loop that owns it

Cause: answerWorker read worker.born in a goroutine of the HTTP server, while Crash writes it in the stand-in's loop. Beside the race, the answer to a start or stop could carry the start time of the instance after the one that had executed it.

Change: the start time is read in the call that executes the command; the answer to /hold takes it in the call that lists the runs.

--- a/standin/users/worker.go
+++ b/standin/users/worker.go
@@ -106,6 +106,7 @@
 		return
 	}
 	var reason string
+	var born int64
 	var wait chan struct{}
 	path, delayed, delay := string(ctx.Path()), false, time.Duration(0)
 	p.do(func() { delayed, delay = path != "/hold" && p.chance(p.faults.DelayedCommands), p.faults.CommandDelay })
@@ -115,6 +116,7 @@
 		return
 	}
 	p.do(func() {
+		born = w.born
 		if reason = p.execute(w, path, cmd); reason == "" && path == "/hold" && cmd.WaitMS > 0 && len(w.endedRuns) == 0 {
 			wait = make(chan struct{})
 			w.waitingHolds = append(w.waitingHolds, wait)
@@ -127,7 +129,7 @@
 		case <-p.stopped:
 		}
 	}
-	p.answerWorker(ctx, w, reason)
+	p.answerWorker(ctx, w, born, reason)
 }
 
 // execute executes a command, or returns the reason for which it is refused.
@@ -184,13 +186,15 @@
 	return ""
 }
 
-func (p *Platform) answerWorker(ctx *fasthttp.RequestCtx, w *worker, reason string) {
+// answerWorker answers a command that the instance started at born executed. The
+// answer to /hold describes the instance that is up when it is written.
+func (p *Platform) answerWorker(ctx *fasthttp.RequestCtx, w *worker, born int64, reason string) {
 	if reason != "" {
 		ctx.SetStatusCode(fasthttp.StatusConflict)
 		reply(ctx, map[string]any{"clock-ms": p.clock(), "reason": reason})
 		return
 	}
-	answer := map[string]any{"clock-ms": p.clock(), "born": w.born}
+	answer := map[string]any{"clock-ms": p.clock(), "born": born}
 	if string(ctx.Path()) == "/hold" {
 		p.do(func() {
 			running := [][]any{}
@@ -198,7 +202,7 @@
 				percent := int(100 * time.Since(r.startTime) / p.opt.TaskTime)
 				running = append(running, []any{r.task, r.attempt, "", min(99, percent), 0})
 			}
-			answer["running"], answer["ended"] = running, slices.Clone(w.endedRuns)
+			answer["born"], answer["running"], answer["ended"] = w.born, running, slices.Clone(w.endedRuns)
 		})
 	}
 	reply(ctx, answer)
