--- a/internal/times/times_test.go
+++ b/internal/times/times_test.go
@@ -1,6 +1,7 @@
 package times
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -15,3 +16,13 @@
 		require.Equal(t, b, Later(pair[0], pair[1]))
 	}
 }
+
+// A number of milliseconds from outside that exceeds the range of a duration became
+// negative on x86-64.
+func TestDurationOutOfRangeIsBounded(t *testing.T) {
+	require.Equal(t, 1500*time.Microsecond, Milliseconds(1.5))
+	require.Equal(t, time.Duration(math.MaxInt64), Milliseconds(1e300))
+	require.Equal(t, time.Duration(math.MaxInt64), Seconds(math.Inf(1)))
+	require.Equal(t, time.Duration(math.MinInt64), Seconds(-1e300))
+	require.Zero(t, Milliseconds(math.NaN()))
+}
