pools: stop using a worker whose registration became undecodable

A registration that another writer replaced by an odd row kept its worker in use until the next full read, which removed it: the two readings of one row differed. The row names no worker, so its worker is now removed at once, also in the grace period after an outage, which is for registrations that lapsed. Its runs are still held, as for any worker that is no longer registered.

A row whose key is shorter than the table's name and two slashes made the slice of the key panic, which ends the process. The store adapter always writes both slashes, so only a response without the table's name could cause it. Rows of other parts, which the feed covers but the full read does not, were removed and added under an id with a slash; they are ignored now. A row that can't be decoded is logged once, until it is valid or gone in between.

Before: TestOddRegistrationReplacesTheValidOne failed, TestRowsWithOddKeysAreNotRegistrations panicked with 'slice bounds out of range [9:2]', TestOddRegistrationIsLoggedOnce was not reached (the panic ended the test binary). They pass with -race.

--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -1,9 +1,11 @@
 package pools
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -200,6 +202,67 @@
 	require.Empty(t, registeredIDs(d))
 }
 
+// A valid registration that another writer replaced by an odd one kept its worker in
+// use until the next full read of the table. The others must not be affected.
+func TestOddRegistrationReplacesTheValidOne(t *testing.T) {
+	d := newDuty()
+	now := time.Unix(1000, 0)
+	both := []store.Change{registrationRow("i-1", "p"), registrationRow("i-2", "p")}
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}))
+	odd := store.Change{Row: store.Row{Key: "servers//i-1", Value: []byte(`{"service":"p"}`)}}
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}))
+	require.Equal(t, []string{"i-2"}, registeredIDs(d))
+	require.False(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}), "nothing has changed")
+	// The grace period after an outage is for registrations that have lapsed.
+	d.registry.outageEndedAt = now
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}))
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Reset: true, Changes: []store.Change{odd, both[1]}}))
+	require.Equal(t, []string{"i-2"}, registeredIDs(d))
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}), "the worker has registered again")
+	require.Equal(t, []string{"i-1", "i-2"}, registeredIDs(d))
+}
+
+// A row whose key is not that of a registration made the slice of its key panic,
+// which ends the process, or was removed as the worker with the same id.
+func TestRowsWithOddKeysAreNotRegistrations(t *testing.T) {
+	d := newDuty()
+	now := time.Unix(1000, 0)
+	valid := registrationRow("i-1", "p")
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{valid}}))
+	for _, key := range []string{"//", "", "servers", "servers//", "servers/x/i-1", "servers/x//i-1", "op//i-1"} {
+		for _, removed := range []bool{false, true} {
+			odd := store.Change{Row: store.Row{Key: key, Value: valid.Value}, Removed: removed}
+			require.False(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}), key)
+			require.Equal(t, []string{"i-1"}, registeredIDs(d), key)
+		}
+	}
+}
+
+// Each heartbeat of a writer whose rows can't be decoded wrote a line to the log.
+func TestOddRegistrationIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	d := newDuty()
+	d.Log = hclog.New(&hclog.LoggerOptions{Output: &log})
+	now := time.Unix(1000, 0)
+	odd := store.Change{Row: store.Row{Key: "servers//i-1", Value: []byte("\xff")}}
+	update := func(reset bool, changes ...store.Change) {
+		d.updateRegistrations(now, follow.Delta{Table: "servers", Reset: reset, Changes: changes})
+	}
+	lines := func() int { return strings.Count(log.String(), "\n") }
+	for range 10 {
+		update(false, odd)
+		update(true, odd)
+	}
+	require.Equal(t, 1, lines())
+	update(false, registrationRow("i-1", "p"))
+	update(false, odd)
+	require.Equal(t, 2, lines(), "it was valid in between")
+	update(true)
+	update(true, odd)
+	require.Equal(t, 3, lines(), "it was gone in between")
+
+}
+
 // After changes of the lease rows were missed, the work table and the
 // registrations must be read again, because their changes may be missing too.
 func TestMissedLeaseChangesRestartFollowers(t *testing.T) {
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -1,7 +1,9 @@
 package pools
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
@@ -20,6 +22,9 @@
 	// the store are removed from workers.
 	removeAt      map[string]time.Time
 	outageEndedAt time.Time // when the last outage of the store ended
+	// undecodable holds the IDs of rows whose error has been logged, so that each
+	// heartbeat of their writer does not log it again.
+	undecodable map[string]bool
 }
 
 // reregistrationGrace is how long after an outage of the store registrations may
@@ -28,7 +33,7 @@
 const reregistrationGrace = 2500 * time.Millisecond
 
 func newRegistry() registry {
-	return registry{workers: map[string]workload.Worker{}, removeAt: map[string]time.Time{}}
+	return registry{workers: map[string]workload.Worker{}, removeAt: map[string]time.Time{}, undecodable: map[string]bool{}}
 }
 
 // workersOf returns the workers of a pool, sorted by ID.
@@ -113,29 +118,36 @@
 	changed := false
 	listed := map[string]bool{}
 	for _, c := range delta.Changes {
-		id := c.Key[len(delta.Table)+2:]
+		// A key has the form table/part/name, and registrations have no part.
+		id, ok := strings.CutPrefix(c.Key, delta.Table+"//")
+		if !ok || id == "" {
+			continue
+		}
+		listed[id] = true
 		if c.Removed {
-			reg.removeAt[id] = reg.removalTime(now)
+			reg.remove(id, reg.removalTime(now))
 			continue
 		}
 		w, err := d.Decode(c.Key, c.Value)
 		if err != nil {
-			d.Log.Warn("ignoring a registration that can't be decoded", "row", c.Key, "error", err)
+			if !reg.undecodable[id] {
+				d.Log.Warn("ignoring a registration that can't be decoded", "row", c.Key, "error", err)
+			}
+			// The row names no worker to use. The grace period is for registrations
+			// that lapsed, not for rows that were replaced.
+			reg.remove(id, now)
+			reg.undecodable[id] = true
 			continue
 		}
-		listed[id] = true
 		delete(reg.removeAt, id)
+		delete(reg.undecodable, id)
 		if former, ok := reg.workers[id]; !ok || !sameWorker(former, w) {
 			changed = true
 		}
 		reg.workers[id] = w
 	}
 	if delta.Reset {
-		for id := range reg.workers {
-			if _, pending := reg.removeAt[id]; !listed[id] && !pending {
-				reg.removeAt[id] = reg.removalTime(now)
-			}
-		}
+		reg.removeUnlisted(now, listed)
 	}
 	for id, at := range reg.removeAt {
 		if !now.Before(at) {
@@ -147,6 +159,25 @@
 	return changed
 }
 
+// remove schedules the removal of a worker, if the ID is that of one.
+func (r *registry) remove(id string, at time.Time) {
+	delete(r.undecodable, id)
+	if _, known := r.workers[id]; known {
+		r.removeAt[id] = at
+	}
+}
+
+// removeUnlisted schedules the removal of the workers that are missing in a full
+// read.
+func (r *registry) removeUnlisted(now time.Time, listed map[string]bool) {
+	maps.DeleteFunc(r.undecodable, func(id string, _ bool) bool { return !listed[id] })
+	for id := range r.workers {
+		if _, pending := r.removeAt[id]; !listed[id] && !pending {
+			r.remove(id, r.removalTime(now))
+		}
+	}
+}
+
 // removalTime returns when a registration that is found missing now must be
 // removed: at once, or at the end of the grace period after an outage.
 func (r *registry) removalTime(now time.Time) time.Time {
