workload: reject submissions that are too large to be scheduled

One submission could end every VM. A step of 10^9 tasks, or 10^9 occurrences that are due, passed validation and was stored; the owner of its pool then allocated all of them, ended for lack of memory, and so would each successor that reads the job.

The owner validates stored jobs again, because an earlier version or another writer may have stored one: such a job is logged and stays queued.

--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -231,6 +231,10 @@
 	if work.Pool != p.Name {
 		return 0
 	}
+	if err := work.Validate(); err != nil {
+		d.Log.Error("a stored job can't be scheduled", "row", c.Key, "error", err)
+		return 0
+	}
 	p.addEvent(engine.JobAdded{Submission: work, Progress: progressByJob[work.ID], Recovered: c.Version < p.TakenVersion && p.Control.Token > 1})
 	return 1
 }
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -170,6 +170,21 @@
 	return New(Options{Self: "n", Decode: worker.Decode, Log: hclog.NewNullLogger()})
 }
 
+// A stored job beyond the limits of a submission, such as one that an earlier version
+// accepted, ended each owner of its pool in turn for lack of memory.
+func TestStoredJobBeyondLimitsIsNotScheduled(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	for _, step := range []string{`{"n":1000000000,"size":{}}`, `{"n":-1,"size":{}}`, `{"n":1,"size":{},"after":[7]}`, `{"n":1,"size":{},"after":[-1]}`} {
+		value := []byte(`{"id":"00000000000000a1","pool":"p","steps":[` + step + `]}`)
+		require.Zero(t, d.addWorkEvent(p, store.Change{Row: store.Row{Key: "work/q-0/00000000000000a1", Value: value}}, nil), step)
+	}
+	require.Empty(t, p.events)
+	value := []byte(`{"id":"00000000000000a1","pool":"p","steps":[{"n":1,"size":{}}]}`)
+	require.Equal(t, 1, d.addWorkEvent(p, store.Change{Row: store.Row{Key: "work/q-0/00000000000000a1", Value: value}}, nil))
+}
+
 // Live workers were removed because their registrations had lapsed during an
 // outage of the store.
 func TestRegistrationsLapsedInOutageAreKept(t *testing.T) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -102,27 +102,6 @@
 	Accepted int64    `json:"at"` // Unix ms of the acceptance by the clock of the accepting VM
 }
 
-// Validate returns an error if the submission can't be run.
-func (s *Submission) Validate() error {
-	if len(s.Steps) == 0 {
-		return fmt.Errorf("job %s has no steps", s.ID)
-	}
-	for i, st := range s.Steps {
-		if st.Count <= 0 {
-			return fmt.Errorf("step %d has %d tasks, want at least 1", i, st.Count)
-		}
-		if st.Size.MilliCores < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
-			return fmt.Errorf("step %d asks for a negative size", i)
-		}
-		for _, a := range st.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("step %d comes after step %d, which is not an earlier one", i, a)
-			}
-		}
-	}
-	return nil
-}
-
 // TaskID identifies a task of one occurrence of a job.
 type TaskID struct {
 	Job        string
