holder: a late renewal can't overwrite newer progress

Callers can see: a job that was shown as completed runs again after a takeover; a task runs a second time after its end was acknowledged.

Cause: Renew was conditional on the version of the lease row only. Append checks that row but does not change it, so a renewal whose answer was lost and that the store executes late, after an Append, still met its condition. It replaced the progress and load rows by older ones. If nothing of the job changed afterwards, the next owner read the older progress.

Change: Renew requires the last known version of the order row, which each write of the holder changes.

Evidence: TestLateRenewalDoesNotOverwriteNewerProgress failed before ("An error is expected but got nil" for the late renewal) and passes now.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -260,12 +260,11 @@
 		c.Holder = ""
 	}
 	h.writing, h.lastWrite, h.lastRenewal = true, now, now
+	order := h.orderOp(store.OpUpdate)
+	order.Expect = h.orderVersion
 	return Write{
 		Control: c, requested: now, renews: true,
-		ops: []store.Op{
-			{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version},
-			h.orderOp(store.OpPut),
-		},
+		ops: []store.Op{{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version}, order},
 	}
 }
 
@@ -282,8 +281,9 @@
 }
 
 // orderOp returns the operation on the row that orders the holder's transactions.
-// Each of them writes that row, and Append requires its last known version, so
-// that an Append which the store executes late fails.
+// Each of them writes that row, and all but the claim require its last known
+// version, so that a write which the store executes late fails. The version of the
+// lease row is not enough, because Append does not change it.
 func (h *Holder) orderOp(kind store.OpKind) store.Op {
 	return store.Op{Kind: kind, Key: store.KeyOrder(h.Name), Value: []byte("{}")}
 }
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -142,6 +142,22 @@
 	require.Equal(t, "new", string(tab.rows["progress/p/j"].Value))
 }
 
+// A renewal that was executed late, after a write of newer progress, replaced that
+// progress by older, and the next owner ran tasks again whose ends had been
+// acknowledged.
+func TestLateRenewalDoesNotOverwriteNewerProgress(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	late := h.Renew(start, h.Control, false)
+	late.ExtraOps = []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("old")}}
+	require.Equal(t, NotStored, h.HandleResult(start, Result{write: late, err: store.ErrUnknown}))
+	next := h.Append(start, []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("new")}})
+	require.Equal(t, Stored, h.HandleResult(start, Commit(context.Background(), tab, next)))
+	require.Error(t, Commit(context.Background(), tab, late).err)
+	require.Equal(t, "new", string(tab.rows["progress/p/j"].Value))
+}
+
 // Guards against an owner that stops its work in an outage of the store, in which
 // no other process could take over. It may continue for a limited time.
 func TestValidWithinIsBounded(t *testing.T) {
