engine: adopt occurrences that are not due by the new owner's clock

Cause: an owner whose wall clock is behind its predecessor's has not opened an occurrence that already runs. It stopped the occurrence's runs as unwanted, acknowledged its ends without processing them, and stored the job's progress without the tasks of that occurrence.

Change: an occurrence that a worker or the stored progress names is opened although it is not due. Its waiting tasks are started when it is due by the owner's clock.

Evidence: TestOccurrenceThatTheFormerOwnerStartedEarlierIsAdopted failed before (a stop of j1.0.0.0) and TestProgressOfOccurrenceThatIsNotDueIsKept too (the task of occurrence 1 was not in the progress); both pass now.

--- a/engine/job.go
+++ b/engine/job.go
@@ -111,6 +111,12 @@
 		for _, number := range p.LaterEnded {
 			j.finishedOccurrences[number] = true
 		}
+		for _, t := range p.Tasks {
+			// The former owner's clock may be ahead of this one's.
+			if j.submission.Repeat.Count > 0 && j.mayOpenEarly(t.Occurrence) {
+				j.openEarly(now, wallMs, t.Occurrence)
+			}
+		}
 	}
 	return j
 }
@@ -127,12 +133,40 @@
 }
 
 // openNext creates the occurrence with number j.nextOccurrence.
-func (j *job) openNext(now time.Time) *occurrence {
-	o := &occurrence{job: j, number: j.nextOccurrence, due: now, openSteps: len(j.submission.Steps)}
+func (j *job) openNext(now time.Time) {
+	due := now
 	if j.submission.Repeat.Count == 0 {
-		o.due = j.arrived
+		due = j.arrived
 	}
+	j.open(j.nextOccurrence, due)
 	j.nextOccurrence++
+}
+
+// openEarly creates an occurrence that is not due by this process's clock, but
+// that a former owner has started.
+func (j *job) openEarly(now time.Time, wallMs int64, number int) {
+	j.open(number, now.Add(time.Duration(j.dueAt(number)-wallMs)*time.Millisecond))
+}
+
+// mayOpenEarly reports whether the occurrence exists, has not ended and is not
+// open yet.
+func (j *job) mayOpenEarly(number int) bool {
+	return !j.state.Ended() && number >= j.nextOccurrence && number < j.occurrenceCount() && !j.finishedOccurrences[number] && j.openOccurrence(number) == nil
+}
+
+// openOccurrence returns the open occurrence with the given number, or nil.
+func (j *job) openOccurrence(number int) *occurrence {
+	for _, o := range j.openOccurrences {
+		if o.number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+// open creates an occurrence.
+func (j *job) open(number int, due time.Time) {
+	o := &occurrence{job: j, number: number, due: due, openSteps: len(j.submission.Steps)}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
 		s := &step{occ: o, index: i, spec: spec, openTasks: spec.Count, runsPerWorker: map[string]int{}, tickets: map[string]ticket{}}
@@ -150,7 +184,6 @@
 	}
 	j.openOccurrences = append(j.openOccurrences, o)
 	j.restoreProgress(o)
-	return o
 }
 
 // restoreProgress restores the stored progress of an occurrence's tasks.
@@ -203,7 +236,7 @@
 
 // canStart reports whether the task has no run and may be started now.
 func (m *Scheduler) canStart(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.step.occ.job.dueAt(t.id.Occurrence) > m.wallMs {
 		return false
 	}
 	return t.runAdopted || !t.step.occ.job.recovered || m.takeoverComplete()
--- a/engine/run.go
+++ b/engine/run.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		w.lastEndProcessed = e.Number
-		if t := m.task(e.Task); t != nil {
+		if t := m.reportedTask(now, e.Task); t != nil {
 			m.handleEnd(now, w, t, e)
 		}
 	}
@@ -97,7 +97,7 @@
 func (m *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldAnswered) {
 	reported := make(map[*run]bool, len(w.runs))
 	for _, report := range e.Report.Running {
-		t := m.task(report.Task)
+		t := m.reportedTask(now, report.Task)
 		if t == nil {
 			m.stopUnwanted(w, report)
 			continue
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -242,18 +242,18 @@
 		if j.state.Ended() {
 			continue
 		}
-		for j.nextOccurrence < j.occurrenceCount() {
+		for j.nextOccurrence = max(j.nextOccurrence, j.firstOpen); j.nextOccurrence < j.occurrenceCount(); {
 			due := j.dueAt(j.nextOccurrence)
 			if due > m.wallMs {
 				m.wakeAt(now.Add(time.Duration(due-m.wallMs) * time.Millisecond))
 				break
 			}
-			if j.finishedOccurrences[j.nextOccurrence] {
+			m.needsPlacement = true
+			if j.finishedOccurrences[j.nextOccurrence] || j.openOccurrence(j.nextOccurrence) != nil {
 				j.nextOccurrence++
 				continue
 			}
 			j.openNext(now)
-			m.needsPlacement = true
 		}
 	}
 }
@@ -320,14 +320,22 @@
 	if !ok {
 		return nil
 	}
-	for _, o := range j.openOccurrences {
-		if o.number == id.Occurrence && id.Step < len(o.steps) && id.Index < len(o.steps[id.Step].tasks) {
-			return o.steps[id.Step].tasks[id.Index]
-		}
+	if o := j.openOccurrence(id.Occurrence); o != nil && id.Step < len(o.steps) && id.Index < len(o.steps[id.Step].tasks) {
+		return o.steps[id.Step].tasks[id.Index]
 	}
 	return nil
 }
 
+// reportedTask returns the task with the given ID, which a worker reports, or nil
+// if its occurrence has ended. An occurrence that is not due by this process's
+// clock is opened, because a former owner has started it.
+func (m *Scheduler) reportedTask(now time.Time, id workload.TaskID) *task {
+	if j, ok := m.jobs[id.Job]; ok && j.mayOpenEarly(id.Occurrence) {
+		j.openEarly(now, m.wallMs, id.Occurrence)
+	}
+	return m.task(id)
+}
+
 // takeoverComplete reports whether no worker of the former owner can still run
 // something that this owner does not know of.
 func (m *Scheduler) takeoverComplete() bool { return len(m.formerWorkers) == 0 }
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -48,3 +48,37 @@
 	next.advance(time.Second)
 	require.Equal(t, workload.Completed, next.m.ended["j1"])
 }
+
+// An owner whose clock was behind the former owner's stopped the runs of an
+// occurrence that was not due by its clock, acknowledged its ends, and ran it again
+// later.
+func TestOccurrenceThatTheFormerOwnerStartedEarlierIsAdopted(t *testing.T) {
+	a := newWorker("a")
+	first, second := workload.TaskID{Job: "j1"}, workload.TaskID{Job: "j1", Index: 1}
+	a.running = []RunReport{{Task: first, Attempt: 1}}
+	a.lastEnd, a.ended = 1, []EndReport{{Number: 1, Task: second, Attempt: 1, Reason: EndDone}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	job := scheduledJob("j1", 1, r.now.Add(2*time.Second), time.Second)
+	job.Submission.Steps[0].Count, job.Recovered = 3, true
+	r.step(job, r.registrations())
+	r.advance(time.Second)
+	require.Empty(t, r.stops)
+	require.Empty(t, r.starts, "the third task is not due")
+	require.Len(t, a.running, 1)
+	r.advance(1500 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	require.Equal(t, 2, r.starts[0].Task.Index)
+}
+
+// An owner whose clock was behind stored its progress without the tasks of an
+// occurrence that was not due by its clock, and its successor ran them again.
+func TestProgressOfOccurrenceThatIsNotDueIsKept(t *testing.T) {
+	r := newHarness(t, 2, nil, newWorker("a"))
+	job := scheduledJob("j1", 2, r.now, 5*time.Second)
+	job.Progress = &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{{Occurrence: 1, Done: true}}}
+	job.Submission.Steps[0].Count, job.Recovered = 2, true
+	r.step(job)
+	require.Contains(t, r.m.jobs["j1"].progress().Tasks, workload.TaskProgress{Occurrence: 1, Done: true})
+}
