engine: acknowledge ends whose jobs are stored while others wait

Callers saw late answers while the store was slow or many jobs changed at once. Cause: Collect covered the ends of all workers or of none.

Each worker now keeps the ends whose jobs are not in the store, and a batch acknowledges those up to the first whose job it leaves out. Jobs that have ended, for which callers wait, go into a batch first.

--- a/engine/run.go
+++ b/engine/run.go
@@ -17,6 +17,7 @@
 		}
 		w.lastEndProcessed = e.Number
 		if t := m.task(e.Task); t != nil {
+			w.unstoredEnds = append(w.unstoredEnds, unstoredEnd{number: e.Number, job: t.step.occ.job})
 			m.handleEnd(now, w, t, e)
 		}
 	}
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -294,28 +294,50 @@
 // outcome of the batch before Collect is called again.
 func (m *Scheduler) Collect(limit int, withLoad bool) *Batch {
 	b := &Batch{Jobs: map[string]workload.Progress{}, lastEnds: make(map[workload.Incarnation]int, len(m.sortedWorkers))}
-	complete := true
-	for _, j := range m.arrivalOrder {
-		if !j.dirty {
-			continue
+	m.collectJobs(b, limit, true)
+	m.collectJobs(b, limit, false)
+	for _, w := range m.sortedWorkers {
+		if n := w.lastCollectedEnd(); n > w.lastEndStored {
+			b.lastEnds[w.Incarnation] = n
 		}
+	}
+	if withLoad {
+		m.collectWorkers(b)
+	}
+	return b
+}
+
+// collectJobs adds jobs with changes to the batch, until it has limit jobs: with
+// ended those that have ended, for which callers are waiting, otherwise the others.
+func (m *Scheduler) collectJobs(b *Batch, limit int, ended bool) {
+	for _, j := range m.arrivalOrder {
 		if len(b.jobs) == limit {
-			complete = false
-			break
+			return
+		}
+		if !j.dirty || j.state.Ended() != ended {
+			continue
 		}
 		b.Jobs[j.submission.ID] = j.progress()
 		b.jobs = append(b.jobs, j)
 		j.dirty, j.storing = false, true
 	}
-	for _, w := range m.sortedWorkers {
-		if complete {
-			b.lastEnds[w.Incarnation] = w.lastEndProcessed
+}
+
+// lastCollectedEnd returns the number up to which the changes that the worker's
+// ends made are in the store or in the batch that is being collected.
+func (w *worker) lastCollectedEnd() int {
+	for _, e := range w.unstoredEnds {
+		if e.job.dirty {
+			return e.number - 1
 		}
 	}
-	if withLoad {
-		m.collectWorkers(b)
-	}
-	return b
+	return w.lastEndProcessed
+}
+
+// markEndsStored records that the worker's ends up to n are in the store.
+func (w *worker) markEndsStored(n int) {
+	w.lastEndStored = max(w.lastEndStored, n)
+	w.unstoredEnds = slices.DeleteFunc(w.unstoredEnds, func(e unstoredEnd) bool { return e.number <= w.lastEndStored })
 }
 
 // collectWorkers adds the workers that may have runs of this owner or of the
@@ -348,7 +370,7 @@
 	}
 	for incarnation, n := range e.Batch.lastEnds {
 		if w := m.findWorker(incarnation); w != nil {
-			w.lastEndStored = max(w.lastEndStored, n)
+			w.markEndsStored(n)
 		}
 	}
 	for id, born := range e.Batch.inLoadRow {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -64,7 +64,8 @@
 	leaseEnd         time.Time // when the leases of all runs must have expired, by our clock
 	lastEndProcessed int       // ends up to this number have been processed
 	lastEndStored    int       // ends up to this number are in the store and can be acknowledged
-	holdPending      bool      // a hold has no answer yet
+	unstoredEnds     []unstoredEnd
+	holdPending      bool // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
 	releaseReported  bool      // the load row reports its machine as released
@@ -78,6 +79,12 @@
 	quarantinedUntil time.Time       // end of the quarantine
 }
 
+// unstoredEnd is an end that changed a job and is not known to be in the store.
+type unstoredEnd struct {
+	number int
+	job    *job
+}
+
 // belongsInLoadRow reports whether the load row must name the worker because it
 // has runs or may get some. The load row is the pool's row in the store with the
 // pool's status and these workers. A successor waits for the workers in the row,
