store: spread a queue's submissions over 64 parts of the table

Cause: a part executes one transaction after another and refuses those that would wait for more than a second. With 4 parts for each queue a slow store takes about 11 submissions a second, and a peak brings 150. Ruled out: the limit of calls of the whole store, which was not reached.

Submissions of a queue now go to one of 64 parts. The number of parts belongs to the stored format.

TestSlowStoreTakesConcurrentSubmissions failed before (11 of 48 accepted) and passes.

--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -155,3 +155,28 @@
 	require.Eventually(t, jobCompleted(t, addr, path), 20*time.Second, 50*time.Millisecond)
 	require.Empty(t, p.OverlappingTasks())
 }
+
+// Guards against submissions that are refused while the store is slow, because
+// those of a queue wait for one another in a few parts of the table.
+func TestSlowStoreTakesConcurrentSubmissions(t *testing.T) {
+	p, err := users.Start(users.Options{Workers: 1, TaskTime: 50 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(p.Stop)
+	addr, _ := startNode(t, p, "node-1")
+	p.SetFaults(users.Faults{TransactionTime: 300 * time.Millisecond})
+	t.Cleanup(func() { p.SetFaults(users.Faults{}) })
+	statuses := make(chan int, 48)
+	for n := range cap(statuses) {
+		go func() {
+			status, _ := request(t, fasthttp.MethodPost, addr, fmt.Sprintf("%s%016x", users.Prefix, n), jobBody)
+			statuses <- status
+		}()
+	}
+	accepted := 0
+	for range cap(statuses) {
+		if <-statuses == fasthttp.StatusOK {
+			accepted++
+		}
+	}
+	require.Equal(t, cap(statuses), accepted, "accepted submissions")
+}
--- a/standin/users/faults.go
+++ b/standin/users/faults.go
@@ -13,6 +13,7 @@
 // LoseAnswers, DelayedCommands and FailRuns are probabilities from 0 to 1.
 type Faults struct {
 	StoreDelay      time.Duration // delay of each answer of the store
+	TransactionTime time.Duration // time in which a part of the store executes a transaction, one after another
 	LoseAnswers     float64       // of store writes that take effect but are not answered
 	DelayedCommands float64       // of run starts and stops that are not answered and take effect after CommandDelay
 	CommandDelay    time.Duration
--- a/standin/users/store.go
+++ b/standin/users/store.go
@@ -32,6 +32,7 @@
 	// truncatedUpTo is the version up to which changes are missing from the
 	// history.
 	truncatedUpTo uint64
+	partBusyUntil map[string]time.Time // by part: end of the last transaction that waits
 }
 
 // waiter is a feed request that waits for changes of a table.
@@ -42,7 +43,26 @@
 	reply chan []row // capacity 1
 }
 
-func newStore() store { return store{rows: map[rowKey]row{}} }
+func newStore() store {
+	return store{rows: map[rowKey]row{}, partBusyUntil: map[string]time.Time{}}
+}
+
+// maxPartWait is how long the transactions that wait for a part may take in all.
+const maxPartWait = time.Second
+
+// queue adds a transaction that takes d to those that wait for a part. It returns
+// the time until the transaction has been executed; ok is false if it is refused.
+func (s *store) queue(part string, now time.Time, d time.Duration) (wait time.Duration, ok bool) {
+	start := now
+	if busy := s.partBusyUntil[part]; busy.After(now) {
+		start = busy
+	}
+	if start.Sub(now) > maxPartWait {
+		return 0, false
+	}
+	s.partBusyUntil[part] = start.Add(d)
+	return start.Add(d).Sub(now), true
+}
 
 func (s *store) set(key rowKey, value []byte) {
 	s.version++
@@ -101,6 +121,17 @@
 	Remove []rowKey `json:"remove"`
 }
 
+// part returns the part whose rows the transaction is about.
+func (tx *transaction) part() string {
+	switch {
+	case len(tx.Set) > 0:
+		return tx.Set[0].Part
+	case len(tx.Expect) > 0:
+		return tx.Expect[0].Part
+	}
+	return ""
+}
+
 // apply executes a transaction if all of its preconditions hold; otherwise it
 // returns the current rows of all preconditions.
 func (s *store) apply(tx transaction) (conflict []row, ok bool) {
@@ -164,6 +195,18 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	var wait time.Duration
+	accepted := true
+	p.do(func() {
+		if d := p.faults.TransactionTime; d > 0 {
+			wait, accepted = p.store.queue(tx.part(), time.Now(), d)
+		}
+	})
+	if !accepted {
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
+	time.Sleep(wait)
 	answer := rowsAnswer{Now: p.clock()}
 	ok := false
 	p.do(func() {
--- a/store/keys.go
+++ b/store/keys.go
@@ -65,10 +65,13 @@
 	ControlFleet  = "fleet"    // part that holds the fleet lease; no pool has this name
 )
 
-// workPartsPerQueue is the number of parts of TableWork for each queue. The
-// transaction rate of a part is limited (200 per second on the users' platform),
-// and a queue of a large deployment receives about 400 submissions at its peaks.
-const workPartsPerQueue = 4
+// workPartsPerQueue is the number of parts of TableWork for each queue. A part
+// executes one transaction after another, on the users' platform 200 per second
+// and about 3 while the store is slow, and refuses those that would wait for more
+// than a second. A queue of a large deployment receives 150 submissions per second
+// at its peaks. The number is part of the stored format: with another one, the rows
+// of earlier submissions are not found.
+const workPartsPerQueue = 64
 
 // suffixCancel is the suffix of a cancellation's key.
 const suffixCancel = "/cancel"
