holder: retry the write of a lease before the lease ends

Cause: a write waited 900 ms for its answer, and the lease lasts 1 s, so one lost answer was enough to lose a pool. The wait also made the store count as slow, so that the next owner held leases of 3 s and a killed owner was replaced late. A renewal that had taken effect without an answer was not counted as one, and the next renewal waited for a third of the duration.

The first write after an answered one now waits 300 ms, the next 900 ms as before. One missing answer does not make the store slow. A conflict that shows an own renewal extends the lease from when that renewal was first sent (it is then that other processes may have seen it at the earliest), and the renewal that failed is repeated at once.

TestLostAnswerOfRenewalLeavesTimeForAnother and TestRenewalWithoutAnswerExtendsTheLease are new; before, a renewal sent at 333 ms failed at 1233 ms.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -44,9 +44,14 @@
 	// doubles with each failure, up to maxWriteRetryDelay.
 	minWriteRetryDelay = 100 * time.Millisecond
 	maxWriteRetryDelay = 400 * time.Millisecond
-	// storeTimeout is the timeout of a write. After a later answer, too little of the
-	// lease would remain.
-	storeTimeout = 900 * time.Millisecond
+	// writeTimeout is the timeout of a write to a store that has answered the last one
+	// in time. If the answer is lost, it leaves time for another write before the
+	// lease ends.
+	writeTimeout = 300 * time.Millisecond
+	// slowWriteTimeout is the timeout of a write to a store that is slow or has not
+	// answered the last one. After a later answer, too little of the lease would
+	// remain.
+	slowWriteTimeout = 900 * time.Millisecond
 )
 
 // State says whether this process holds the lease.
@@ -81,8 +86,11 @@
 	lastWrite    time.Time // when the last write was started
 	lastRenewal  time.Time // when the last renewal was started
 	nextRetry    time.Time // earliest time of the next write after one failed
-	slow         bool      // the last write took longer than slowWriteThreshold
+	slow         bool      // the last answer took longer than slowWriteThreshold, or several are missing
+	unanswered   int       // number of writes without an answer since the last answer
 	failures     int       // number of failed writes since the last that succeeded
+	renewal      uint64    // number of the last renewal that was sent
+	renewalSent  time.Time // when the first write with that number was sent
 }
 
 // New returns a Holder that does not hold the lease. cpuShare is the share of a
@@ -119,8 +127,9 @@
 	ExtraOps  []store.Op
 	ops       []store.Op // on the lease row and the row that orders transactions
 	requested time.Time  // time shortly before the write was sent
-	claim     bool       // the write claims the lease
-	renews    bool       // the write changes the lease row
+	timeout   time.Duration
+	claim     bool // the write claims the lease
+	renews    bool // the write changes the lease row
 }
 
 // Result is the outcome of a Write.
@@ -153,6 +162,14 @@
 	return leaseDuration
 }
 
+// nextTimeout returns the timeout of the next write.
+func (h *Holder) nextTimeout() time.Duration {
+	if h.slow || h.unanswered > 0 {
+		return slowWriteTimeout
+	}
+	return writeTimeout
+}
+
 // Valid reports whether the lease is held at now, a time of package steady.
 func (h *Holder) Valid(now time.Time) bool { return h.State == Held && h.lease.Valid(now) }
 
@@ -222,7 +239,7 @@
 // written since the view was read.
 func (h *Holder) Claim(now time.Time, v *board.View) Write {
 	row, exists := v.Leases[h.Name]
-	w := Write{Control: row.Control, requested: now, claim: true, renews: true}
+	w := Write{Control: row.Control, requested: now, timeout: h.nextTimeout(), claim: true, renews: true}
 	w.Control.Share = h.cpuShare
 	w.Control.SetLease(lease.Takeover(row.Record(), h.self, h.nextDuration()))
 	op := store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
@@ -260,10 +277,13 @@
 		c.Holder = ""
 	}
 	h.writing, h.lastWrite, h.lastRenewal = true, now, now
+	if h.renewal != c.Record().Renewal {
+		h.renewal, h.renewalSent = c.Record().Renewal, now
+	}
 	order := h.orderOp(store.OpUpdate)
 	order.Expect = h.orderVersion
 	return Write{
-		Control: c, requested: now, renews: true,
+		Control: c, requested: now, timeout: h.nextTimeout(), renews: true,
 		ops: []store.Op{{Kind: store.OpUpdate, Key: store.KeyControl(h.Name), Expect: h.version}, order},
 	}
 }
@@ -275,7 +295,7 @@
 	order := h.orderOp(store.OpUpdate)
 	order.Expect = h.orderVersion
 	return Write{
-		Control: h.Control, ExtraOps: ops, requested: now,
+		Control: h.Control, ExtraOps: ops, requested: now, timeout: h.nextTimeout(),
 		ops: []store.Op{{Kind: store.OpCheck, Key: store.KeyControl(h.Name), Expect: h.version}, order},
 	}
 }
@@ -296,7 +316,7 @@
 			return r
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
 	defer cancel()
 	versions, err := t.Commit(ctx, append(w.ops, w.ExtraOps...))
 	if err != nil {
@@ -310,7 +330,7 @@
 // HandleResult handles the result of a write.
 func (h *Holder) HandleResult(now time.Time, r Result) Event {
 	h.writing = false
-	h.slow = now.Sub(r.write.requested) > slowWriteThreshold
+	h.recordAnswer(now, r)
 	if h.State == Idle {
 		return Ignored
 	}
@@ -340,6 +360,12 @@
 	if current := h.readConflict(r.err, h.Control.Token); current.own {
 		// An earlier write whose outcome was unknown took effect.
 		h.Control, h.version, h.orderVersion, h.nextRetry = current.control, current.version, current.orderVersion, time.Time{}
+		if record := current.control.Record(); record.Renewal == h.renewal {
+			h.lease = lease.Acquired(record, h.renewalSent)
+		}
+		if r.write.renews {
+			h.lastRenewal = time.Time{} // this renewal did not take effect
+		}
 		return NotStored
 	}
 	var conflict *store.ConflictError
@@ -356,6 +382,17 @@
 	return NotStored
 }
 
+// recordAnswer records whether the store answers, and how fast. A single missing
+// answer does not mean that the store is slow.
+func (h *Holder) recordAnswer(now time.Time, r Result) {
+	if errors.Is(r.err, store.ErrUnknown) {
+		h.unanswered++
+		h.slow = h.slow || h.unanswered > 1
+		return
+	}
+	h.unanswered, h.slow = 0, now.Sub(r.write.requested) > slowWriteThreshold
+}
+
 func (h *Holder) handleClaimResult(now time.Time, r Result) Event {
 	if r.err != nil {
 		current := h.readConflict(r.err, r.write.Control.Token)
@@ -369,6 +406,7 @@
 	h.log.Info("lease is held", "lease", h.Name, "token", r.write.Control.Token, "version", r.version)
 	h.State, h.Control, h.version, h.TakenVersion, h.TakenAt = Held, r.write.Control, r.version, r.version, now
 	h.lastWrite, h.lastRenewal, h.nextRetry, h.orderVersion = now, now, time.Time{}, r.orderVersion
+	h.renewal, h.renewalSent = r.write.Control.Record().Renewal, r.write.requested
 	h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 	return Acquired
 }
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -220,3 +220,39 @@
 	require.False(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseDuration+maxClaimJitter), 0))
 	require.True(t, New("p", "strong", 0.8, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseDuration+maxClaimJitter), 0))
 }
+
+// Guards against an owner that loses its lease because the answer of one renewal
+// is lost.
+func TestLostAnswerOfRenewalLeavesTimeForAnother(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	sent := h.RenewAt(0)
+	w := h.Renew(sent, h.Control, false)
+	failed := sent.Add(w.timeout)
+	require.Equal(t, NotStored, h.HandleResult(failed, Result{write: w, err: store.ErrUnknown}))
+	retry := h.RenewAt(0)
+	require.True(t, h.Valid(retry.Add(100*time.Millisecond)), "the retry at %s is answered before the lease ends", retry.Sub(start))
+	w = h.Renew(retry, h.Control, false)
+	require.Equal(t, leaseDuration, w.Control.Record().Duration, "one missing answer does not make the store slow")
+	require.Equal(t, slowWriteTimeout, w.timeout)
+	require.Equal(t, Stored, h.HandleResult(retry, Commit(context.Background(), tab, w)))
+}
+
+// Guards against an owner that does not count a renewal that took effect without
+// an answer.
+func TestRenewalWithoutAnswerExtendsTheLease(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	sent := start.Add(1300 * time.Millisecond)
+	w := h.Renew(sent, h.Control, false)
+	tab.loseAnswers = true
+	require.Equal(t, NotStored, h.HandleResult(sent.Add(w.timeout), Commit(context.Background(), tab, w)))
+	tab.loseAnswers = false
+	retry := h.RenewAt(0)
+	require.Equal(t, NotStored, h.HandleResult(retry, Commit(context.Background(), tab, h.Renew(retry, h.Control, false))))
+	require.True(t, h.Valid(sent.Add(leaseDuration*3/4)))
+	require.False(t, h.Valid(sent.Add(leaseDuration)), "the lease counts from the write that took effect")
+	require.False(t, h.RenewAt(0).After(retry), "the next renewal does not wait")
+}
