engine: a full list of ends does not show which runs have vanished

Callers can see: after an outage of the store, or at a takeover, a task that has ended done runs again.

Cause: a worker lists at most 500 unacknowledged ends. A run that was in neither list was taken as vanished and its task started again, although its end was on the next page. A new owner likewise counted such a worker as known after its first answer and started recovered tasks.

The engine then removes no run for being missing, and counts the worker as known only after a complete answer.

Evidence: TestRunWhoseEndIsNotListedYetIsNotRepeated (3 starts instead of 2) and TestNewOwnerWaitsForAllEndsOfAWorker (a start of j1.0.0.1, run 1001) failed before and pass now.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -39,6 +39,7 @@
 	ended          []EndReport
 	lastEnd        int  // number of the last end
 	stalled        bool // its runs make no progress
+	pageSize       int  // number of ends listed at a time; 0: all
 }
 
 var testQueue = workload.Queue{Name: "q", Pool: "p", MaxAttempts: 4, Stretch: 1.6, Target: 600 * time.Millisecond}
@@ -163,9 +164,13 @@
 		}
 	}
 	w.ended = kept
+	more := w.pageSize > 0 && len(kept) >= w.pageSize
+	if more {
+		kept = kept[:w.pageSize]
+	}
 	return HoldAnswered{Worker: h.Incarnation, Sent: r.now, Report: HoldReport{
 		Clock: r.now.Sub(w.startedAt).Milliseconds(), Born: w.Born,
-		Running: append([]RunReport(nil), w.running...), Ended: append([]EndReport(nil), kept...),
+		Running: append([]RunReport(nil), w.running...), Ended: append([]EndReport(nil), kept...), MoreEnds: more,
 	}}
 }
 
--- a/engine/event.go
+++ b/engine/event.go
@@ -102,6 +102,9 @@
 	Born    int64 // Unix ms at which the worker started, 0 if not reported
 	Running []RunReport
 	Ended   []EndReport
+	// MoreEnds is set if the worker may have further ends that this report does not
+	// list, so that a run that is in neither list may have ended.
+	MoreEnds bool
 }
 
 // HoldAnswered is the outcome of a Hold.
--- a/engine/run.go
+++ b/engine/run.go
@@ -109,6 +109,9 @@
 		reported[r] = true
 		m.updateRun(now, r, report)
 	}
+	if e.Report.MoreEnds {
+		return
+	}
 	for _, r := range slices.Clone(w.runs) {
 		if !reported[r] {
 			m.reconcileMissing(now, w, r, e)
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -82,3 +82,38 @@
 	r.step(job)
 	require.Contains(t, r.m.jobs["j1"].progress().Tasks, workload.TaskProgress{Occurrence: 1, Done: true})
 }
+
+// A worker lists at most 500 ends at a time. A run whose end was on the next page
+// was taken as vanished, and its task was started again.
+func TestRunWhoseEndIsNotListedYetIsNotRepeated(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(2)))
+	require.Len(t, r.starts, 2)
+	w := r.workers["a"]
+	w.pageSize = 1
+	for _, s := range r.starts {
+		w.endRun(s.Task, s.Attempt, EndDone)
+	}
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
+
+// A new owner started a task whose end was on the next page of a worker's ends.
+func TestNewOwnerWaitsForAllEndsOfAWorker(t *testing.T) {
+	a := newWorker("a")
+	a.pageSize, a.lastEnd = 1, 2
+	for i := range 2 {
+		a.ended = append(a.ended, EndReport{Number: i + 1, Task: workload.TaskID{Job: "j1", Index: i}, Attempt: 1, Reason: EndDone})
+	}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"], r.workers["b"] = a, newWorker("b")
+	r.workers["b"].startedAt = r.now
+	job := testJob("j1", simpleStep(2))
+	job.Recovered = true
+	r.step(job, r.registrations())
+	r.advance(2 * time.Second)
+	require.Empty(t, r.starts)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -271,8 +271,10 @@
 	if w.suspect {
 		m.logDecision("worker-answers", "", nil, w, 0)
 	}
-	first := !w.synced
-	w.suspect, w.unansweredOrders, w.synced = false, 0, true
+	// Until the worker's ends are known completely, a task that it does not list as
+	// running may have ended there.
+	first := !w.synced && !e.Report.MoreEnds
+	w.suspect, w.unansweredOrders, w.synced = false, 0, w.synced || first
 	w.clockMs, w.clockAt, w.lastHoldSent = e.Report.Clock, now, e.Sent
 	if w.deadline > 0 {
 		left := time.Duration(w.deadline-w.clockMs) * time.Millisecond
