engine: an owner without a valid lease doesn't restart tasks it lost sight of

Callers can see: when a part of the workers and the pool's owner are cut off from the rest together, a task runs on both sides.

Cause: an owner continues for 5 s after its lease has ended, because an outage of the store should not end its work. In that time it counted the lease of a worker that did not answer as lapsed, although a successor may have reached that worker and extended the lease, and started its tasks at workers that the successor had not reached.

Change: the engine is told whether the lease is valid.

Evidence: TestOwnerWithoutLeaseDoesNotRestartTasksOfSilentWorker failed before (2 starts instead of 1) and passes now.

--- a/engine/job.go
+++ b/engine/job.go
@@ -65,6 +65,7 @@
 	runs            []*run
 	notBefore       time.Time // earliest time of the next start
 	avoidWorker     string    // ID of the worker of the last failed or stalled run
+	lostAfterLease  bool      // its last run was given up without a report of the worker, after the owner's lease had ended
 	runAdopted      bool      // this owner has adopted a run of it, so no unknown run can exist at another worker
 }
 
@@ -239,6 +240,9 @@
 	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.step.occ.job.dueAt(t.id.Occurrence) > m.wallMs {
 		return false
 	}
+	if t.lostAfterLease && m.leaseEnded {
+		return false
+	}
 	return t.runAdopted || !t.step.occ.job.recovered || m.takeoverComplete()
 }
 
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -117,3 +117,20 @@
 	require.Empty(t, r.starts)
 	require.Equal(t, workload.Completed, r.m.ended["j1"])
 }
+
+// Guards against an owner without a valid lease that starts the tasks of a worker
+// which it can't reach, while its successor extends that worker's lease.
+func TestOwnerWithoutLeaseDoesNotRestartTasksOfSilentWorker(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(1)))
+	r.workers["a"].silent = true
+	r.workers["b"] = newWorker("b")
+	r.workers["b"].startedAt = r.now
+	r.step(r.registrations())
+	r.m.SetLeaseValid(false)
+	r.advance(2 * testLease)
+	require.Len(t, r.starts, 1)
+	r.m.SetLeaseValid(true)
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2, "no successor has taken the lease")
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -322,11 +322,18 @@
 // frees their tasks.
 func (m *Scheduler) removeRuns(now time.Time, w *worker) {
 	for len(w.runs) > 0 {
-		m.removeRun(now, w.runs[0])
+		m.giveUpRun(now, w.runs[0])
 	}
 	m.needsPlacement = true
 }
 
+// giveUpRun removes a run that can't exist any more according to this owner's
+// knowledge, without a report of the worker.
+func (m *Scheduler) giveUpRun(now time.Time, r *run) {
+	r.task.lostAfterLease = m.leaseEnded
+	m.removeRun(now, r)
+}
+
 // mayRunAfterRestart reports whether a run may exist in the worker's next
 // incarnation. Orders name the worker by its ID, which a restart does not
 // change, so a start sent since the last answer of the old incarnation may have
@@ -340,7 +347,7 @@
 func (m *Scheduler) removeRunsBeforeRestart(now time.Time, w *worker) {
 	for _, r := range slices.Clone(w.runs) {
 		if !r.mayRunAfterRestart() {
-			m.removeRun(now, r)
+			m.giveUpRun(now, r)
 		}
 	}
 	m.needsPlacement = true
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -59,6 +59,7 @@
 	if !p.Valid(now) {
 		events, p.events = splitNewJobs(events)
 	}
+	p.engine.SetLeaseValid(p.Valid(now))
 	p.engine.Pause(!d.jobsAreCurrent(now, p))
 	for _, a := range p.engine.Step(now, time.Now().UnixMilli(), events...) {
 		d.execute(ctx, p, a)
