engine: don't repeat acknowledgements to a worker that may have restarted

Callers can see: a task that a worker ran right after a restart runs again, although it has ended done.

Cause: each hold repeated the number of the last stored end. A worker that restarts under its ID counts ends from 1 again, and its restart is noticed only with the answer to the next hold, for an idle worker up to 2 s later. It took a start meanwhile, and that hold made it forget the end of the run. The run then counted as one that never began.

Change: an acknowledgement is sent until a hold with it is answered, and not while the worker does not answer.

Evidence: TestAcknowledgementIsNotRepeatedToRestartedWorker (3 starts instead of 2) and TestSilentWorkerGetsNoAcknowledgement (last-seen 1 instead of 0) failed before and pass now.

--- a/engine/event.go
+++ b/engine/event.go
@@ -185,7 +185,7 @@
 type Hold struct {
 	Target
 	Token      uint64
-	StoredEnds int           // acknowledges the ends up to this number
+	StoredEnds int           // acknowledges the ends up to this number; 0: none that are not acknowledged yet
 	Deadline   int64         // end of the lease in ms on the worker's clock; 0: not extended
 	Wait       time.Duration // how long the worker may delay its answer until a run ends
 }
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -134,3 +134,52 @@
 	r.advance(time.Second)
 	require.Len(t, r.starts, 2, "no successor has taken the lease")
 }
+
+// An idle worker restarted unnoticed and carried out a start. The next hold
+// repeated the acknowledgement of ends of the former incarnation, so that the end
+// of the run was forgotten and the task started again.
+func TestAcknowledgementIsNotRepeatedToRestartedWorker(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	r.advance(time.Second)
+	require.Equal(t, 1, r.m.workers["a"].lastEndStored)
+	require.Empty(t, w.ended)
+
+	w.Born++
+	w.lastEnd, w.startedAt = 0, r.now
+	r.step(testJob("j2", simpleStep(1)))
+	require.Len(t, r.starts, 2)
+	w.endRun(r.starts[1].Task, 1, EndDone)
+	r.advance(3 * time.Second)
+	r.step(r.registrations())
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2)
+	require.Equal(t, workload.Completed, r.m.ended["j2"])
+}
+
+// The same happened if the worker restarted before it received the
+// acknowledgement, which each further hold repeated.
+func TestSilentWorkerGetsNoAcknowledgement(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	holds := len(r.holds)
+	for len(r.holds) == holds {
+		r.advance(20 * time.Millisecond)
+	}
+	w.silent = true
+	r.advance(time.Second)
+	holds = len(r.holds)
+	require.Equal(t, 1, r.m.workers["a"].lastEndStored)
+	r.advance(time.Second)
+	require.Greater(t, len(r.holds), holds)
+	for _, h := range r.holds[holds:] {
+		require.Zero(t, h.StoredEnds)
+	}
+	w.silent = false
+	r.advance(time.Second)
+	require.Empty(t, w.ended)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -64,6 +64,8 @@
 	leaseEnd         time.Time // when the leases of all runs must have expired, by our clock
 	lastEndProcessed int       // ends up to this number have been processed
 	lastEndStored    int       // ends up to this number are in the store and can be acknowledged
+	lastEndAcked     int       // ends up to this number were acknowledged by an answered hold
+	ackSent          int       // acknowledgement in the last hold
 	holdPending      bool      // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
@@ -194,7 +196,14 @@
 }
 
 func (m *Scheduler) sendHold(now time.Time, w *worker) {
-	h := Hold{Target: w.target(), Token: m.cfg.Token, StoredEnds: w.lastEndStored}
+	h := Hold{Target: w.target(), Token: m.cfg.Token}
+	// A worker that has restarted under its ID counts its ends from 1 again and would
+	// forget ends that this owner has not seen. So an acknowledgement is not repeated
+	// once it is answered, and not sent to a worker that does not answer.
+	if w.lastEndStored > w.lastEndAcked && !w.suspect {
+		h.StoredEnds = w.lastEndStored
+	}
+	w.ackSent = h.StoredEnds
 	// The lease of a worker that does not answer is not extended, so that its
 	// runs expire and their tasks can start elsewhere.
 	if w.synced && !w.suspect {
@@ -275,6 +284,7 @@
 	// running may have ended there.
 	first := !w.synced && !e.Report.MoreEnds
 	w.suspect, w.unansweredOrders, w.synced = false, 0, w.synced || first
+	w.lastEndAcked = max(w.lastEndAcked, w.ackSent)
 	w.clockMs, w.clockAt, w.lastHoldSent = e.Report.Clock, now, e.Sent
 	if w.deadline > 0 {
 		left := time.Duration(w.deadline-w.clockMs) * time.Millisecond
@@ -288,7 +298,7 @@
 	switch {
 	case first || m.needsPromptAnswer(w):
 		w.nextHold = now.Add(holdGap)
-	case len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored:
+	case len(w.runs) > 0 || w.lastEndProcessed > w.lastEndAcked:
 		w.nextHold = now.Add(holdGap + time.Duration(m.busyWorkers())*holdGapPerBusyWorker)
 	default:
 		w.nextHold = now.Add(idleHoldInterval)
