pools: write the load row again after a write with unknown result

Callers can see: after a takeover, a task that still runs at a worker which the successor does not reach is started again elsewhere.

Cause: an unchanged load row is not written. After a write without an answer the former row still counted as stored, although the store may hold the unanswered one. If the load then returned to the former content, the write was left out but counted as stored, and workers were used that the row in the store does not name. A successor waits only for workers that it names.

Change: after a failed write that includes it, the load row is written again.

Evidence: TestLoadRowIsWrittenAgainAfterUnknownWrite failed before (the row was not among the writes) and passes now.

--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -112,6 +112,9 @@
 			p.addEvent(engine.Stored{Batch: batch, OK: true})
 		}
 	case holder.NotStored:
+		if loadRow != nil {
+			p.storedLoadRow = nil // the store may have either row
+		}
 		if batch != nil {
 			p.addEvent(engine.Stored{Batch: batch})
 		}
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -151,6 +151,32 @@
 	require.Equal(t, engine.CancelRequested{Job: "00000000000000a1"}, p.events[1])
 }
 
+// lostTable executes no transaction and returns an unknown result.
+type lostTable struct{ store.Table }
+
+func (lostTable) Commit(context.Context, []store.Op) ([]uint64, error) {
+	return nil, store.ErrUnknown
+}
+
+// A write of the load row without an answer may have taken effect. The former row
+// counted as stored nevertheless: it was not written again, and a worker was used
+// that the store's row did not name, so that a successor did not wait for it.
+func TestLoadRowIsWrittenAgainAfterUnknownWrite(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.State = holder.Held
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	writesLoadRow := func() bool {
+		return slices.ContainsFunc(d.collectOps(d.now(), p, true), func(op store.Op) bool { return op.Key == store.KeyLoad("p") })
+	}
+	p.storedLoadRow = []byte("former row")
+	require.True(t, writesLoadRow())
+	former := p.pendingLoadRow
+	p.storedLoadRow, p.pendingLoadRow = former, []byte("another row")
+	d.handleLeaseWritten(leaseWritten{pool: "p", result: holder.Commit(context.Background(), lostTable{}, p.Append(d.now(), nil))})
+	require.True(t, writesLoadRow())
+}
+
 func registrationRow(id, pool string) store.Change {
 	return store.Change{Row: store.Row{Key: "servers//" + id, Value: []byte(`{"service":"` + pool +
 		`","addr":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1},"born":5}`)}}
