pools: collect no batch while the engine is not stepped

Callers can see: after an outage of the store of more than 6 s and the loss of the pool's owner right after it, a task that ended done runs again.

Cause: an owner steps its engine until 5 s after the end of its lease, but went on to collect a batch for each attempt to renew it. The failures of these batches waited in the event queue. A later batch did not contain the jobs of a failed one, whose outcome the engine did not know, yet covered all ends that it had processed. When a renewal succeeded again, these ends were acknowledged before their jobs were stored.

Change: a renewal without a step of the engine carries no batch.

Evidence: TestNoBatchIsCollectedWhileTheEngineIsNotStepped failed before (a batch was pending) and passes now. The loss of an end was not played.

--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -198,7 +198,8 @@
 	}
 	renew := !now.Before(renewAt)
 	var ops []store.Op
-	if p.engine != nil {
+	// An engine that is not stepped has not learned the outcome of its last batch.
+	if p.engine != nil && p.ValidWithin(now, leaseOverrun) {
 		ops = d.collectOps(now, p, renew || !now.Before(loadAt))
 	}
 	if !renew {
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -177,6 +177,21 @@
 	require.True(t, writesLoadRow())
 }
 
+// In an outage of the store that outlasted the overrun, each renewal collected
+// another batch although the engine had not learned that the last one failed. The
+// first write that succeeded acknowledged ends that no batch had stored.
+func TestNoBatchIsCollectedWhileTheEngineIsNotStepped(t *testing.T) {
+	d := newDuty()
+	d.Table = lostTable{}
+	p := d.addPool("p")
+	p.State = holder.Held
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	require.False(t, p.ValidWithin(d.now(), leaseOverrun))
+	d.runPool(context.Background(), d.now(), p)
+	require.True(t, p.Writing(), "the lease is renewed")
+	require.Nil(t, p.pendingBatch)
+}
+
 func registrationRow(id, pool string) store.Change {
 	return store.Change{Row: store.Row{Key: "servers//" + id, Value: []byte(`{"service":"` + pool +
 		`","addr":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1},"born":5}`)}}
