holder: a lease that is being released is not valid

Callers can see: while a machine shuts down in order and answers of the store are lost, a job that is submitted at that moment runs twice.

Cause: the holder counted its lease as valid until the answer to its release. The next process may claim the lease as soon as the store has executed the release. If the answer was lost, both counted as holders for up to a second, and both started jobs that were submitted in it.

Change: the lease ends when its release is sent.

Evidence: TestLeaseEndsWithItsRelease failed before (the lease was valid after the release was sent) and passes now.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -253,11 +253,13 @@
 }
 
 // Renew returns the write that stores c and renews the lease or, with release,
-// releases it.
+// releases it. A lease that is being released is not valid any more.
 func (h *Holder) Renew(now time.Time, c rows.Control, release bool) Write {
 	c.SetLease(h.Control.Record().Renewed(h.nextDuration()))
 	if release {
-		c.Holder = ""
+		// Another process may claim the lease as soon as the store has executed the
+		// write, even if its answer is lost.
+		c.Holder, h.lease = "", lease.Held{}
 	}
 	h.writing, h.lastWrite, h.lastRenewal = true, now, now
 	order := h.orderOp(store.OpUpdate)
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -97,6 +97,26 @@
 	require.False(t, b.Valid(start))
 }
 
+// If the answer to a release was lost, the former holder counted as such for up to a
+// second beside the next one, and both started the same new jobs.
+func TestLeaseEndsWithItsRelease(t *testing.T) {
+	tab := newTable()
+	a, b := New("p", "a", 1, hclog.NewNullLogger()), New("p", "b", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, a, tab, start, 0))
+	now := start.Add(time.Second)
+	require.True(t, a.Valid(now))
+	release := a.Renew(now, a.Control, true)
+	tab.loseAnswers = true
+	unknown := Commit(context.Background(), tab, release)
+	tab.loseAnswers = false
+	require.False(t, a.Valid(now))
+	require.False(t, a.ValidWithin(now, time.Second))
+	require.Equal(t, Acquired, claimLease(t, b, tab, now, 0))
+	require.Equal(t, NotStored, a.HandleResult(now, unknown))
+	require.False(t, a.Valid(now))
+	require.Equal(t, Lost, a.HandleResult(now, Commit(context.Background(), tab, a.Renew(now, a.Control, true))))
+}
+
 // A lease must not be claimed before it has been unchanged for its duration. After
 // that it is taken with a higher token, and writes of the former holder fail.
 func TestExpiredLeaseIsTaken(t *testing.T) {
