engine: adopted runs of a worker that falls silent expire

Callers can see: after a takeover, a task waits for ever because its worker answered the new owner once and then no more.

Cause: the first hold of a new owner extends no lease, so the end of the worker's lease was not known and adopted runs never expired. A start right after the first hold recorded only the start's deadline, 1.5 s, as the end of the lease of all runs there, although the former owner may have extended it to the maximum.

Change: with a worker's first answer, its lease counts as extended to the maximum.

Evidence: TestAdoptedRunOfSilentWorkerExpires failed before (no start) and passes now.

--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -183,3 +183,24 @@
 	r.advance(time.Second)
 	require.Empty(t, w.ended)
 }
+
+// A worker answered the first hold of a new owner and then no more. Its lease never
+// ended in the new owner's records, so the task of the adopted run waited for ever.
+func TestAdoptedRunOfSilentWorkerExpires(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, newWorker("b"))
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.m.Step(r.now, 0, job, r.registrations(), r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
+	require.Len(t, r.m.workers["a"].runs, 1)
+	a.silent = true
+	r.m.Step(r.now, 0, HoldAnswered{Worker: a.Incarnation, Sent: r.now, Result: Unknown})
+	r.advance(testLease)
+	require.Empty(t, r.starts, "the former owner's lease may last")
+	r.advance(time.Second)
+	require.Len(t, r.starts, 1)
+	require.Equal(t, "b", r.starts[0].Incarnation.ID)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -286,7 +286,10 @@
 	w.suspect, w.unansweredOrders, w.synced = false, 0, w.synced || first
 	w.lastEndAcked = max(w.lastEndAcked, w.ackSent)
 	w.clockMs, w.clockAt, w.lastHoldSent = e.Report.Clock, now, e.Sent
-	if w.deadline > 0 {
+	if w.deadline == 0 {
+		// A former owner may have extended the lease by the longest time.
+		w.recordDeadline(now, w.clockMs+m.cfg.Lease.Milliseconds())
+	} else {
 		left := time.Duration(w.deadline-w.clockMs) * time.Millisecond
 		w.leaseEnd = now.Add(maxLocalLease(max(0, left)))
 	}
