engine: name a restarted worker with possible runs in the load row

Callers can see: a task that was started right when its worker restarted runs again elsewhere after a takeover.

Cause: a start may reach the next incarnation of its worker. The run is kept until that incarnation answers, but until then the worker was not named in the load row, so a successor did not wait for it.

Change: the load row names each worker with runs.

Evidence: TestRestartedWorkerWithPossibleRunsStaysInLoadRow failed before (no worker was named) and passes now.

--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -204,3 +204,15 @@
 	require.Len(t, r.starts, 1)
 	require.Equal(t, "b", r.starts[0].Incarnation.ID)
 }
+
+// A worker that had restarted and might run a start of before was left out of the
+// load row until it answered, so that a successor did not wait for it.
+func TestRestartedWorkerWithPossibleRunsStaysInLoadRow(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
+	w.Born++
+	r.m.Step(r.now, 0, r.registrations())
+	require.Len(t, r.m.workers["a"].runs, 1)
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 2}}, r.m.Collect(1, true).Engaged)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -85,7 +85,7 @@
 // pool's status and these workers. A successor waits for the workers in the row,
 // so one that has no work and gets none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return w.synced && (len(w.runs) > 0 || w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine])
+	return len(w.runs) > 0 || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
