engine: name workers with ends that are not stored in the load row

Callers can see: a task that ended on a worker that is about to leave runs again after a takeover.

A successor did not wait for the worker and started the task.

Change: the load row names a worker until its ends are stored.

Evidence: TestWorkerWithUnstoredEndsStaysInLoadRow failed before (no worker was named) and passes now.

--- a/engine/owners_test.go
+++ b/engine/owners_test.go
@@ -123,7 +123,7 @@
 		p = s.procs[s.store.holder]
 	}
 	heal := func(fn func()) { s.after(d, func() { fn(); s.feed() }) }
-	kind := s.rng.IntN(9)
+	kind := s.rng.IntN(10)
 	s.trace("trouble %d at process %d, worker %s, for %s", kind, p.id, w.worker.ID, d)
 	switch kind {
 	case 0:
@@ -161,6 +161,13 @@
 	case 7:
 		s.store.down = true
 		heal(func() { s.store.down = false })
+	case 9: // a worker drains, leaves, and another takes its place
+		if _, ok := s.store.registered[w.worker.ID]; ok && w.up {
+			draining := w.worker
+			draining.Draining, draining.Remaining = true, d
+			s.register(draining)
+			heal(func() { w.restart(time.Second) })
+		}
 	case 8: // a partition with some of the workers
 		p.cut = true
 		for _, o := range s.workers {
--- a/engine/simworker_test.go
+++ b/engine/simworker_test.go
@@ -150,6 +150,7 @@
 	for _, r := range w.running {
 		r.over = true
 		s.runs[r.task] = slices.DeleteFunc(s.runs[r.task], func(o *simRun) bool { return o == r })
+		s.after(100*time.Millisecond, func() { s.breakGang(r) })
 	}
 	w.running, w.ended, w.lastEnd, w.highest, w.fence, w.deadline, w.waiting = nil, nil, 0, map[workload.TaskID]int{}, 0, 0, nil
 	w.leaseSeq++
@@ -296,6 +297,18 @@
 	return list
 }
 
+// breakGang ends the other members of a gang of which one has ended.
+func (s *simWorld) breakGang(r *simRun) {
+	if !s.jobs[r.task.Job].submission.Steps[r.task.Step].Gang {
+		return
+	}
+	for _, o := range s.gang(r) {
+		if !o.stopping {
+			o.worker.end(o, EndGangBroken)
+		}
+	}
+}
+
 func (w *simWorker) end(r *simRun, how EndReason) {
 	s := w.world
 	s.trace("worker %s ends %s run %d %s", w.worker.ID, r.task, r.attempt, how)
@@ -308,12 +321,8 @@
 	w.ended = append(w.ended, e)
 	if how == EndDone {
 		s.doneEnds[r.task] = append(s.doneEnds[r.task], e)
-	} else if spec := &s.jobs[r.task.Job].submission.Steps[r.task.Step]; spec.Gang {
-		for _, o := range s.gang(r) {
-			if !o.stopping {
-				o.worker.end(o, EndGangBroken)
-			}
-		}
+	} else {
+		s.breakGang(r)
 	}
 	if w.waiting != nil {
 		answer := w.waiting
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -216,3 +216,21 @@
 	require.Len(t, r.m.workers["a"].runs, 1)
 	require.Equal(t, []EngagedWorker{{ID: "a", Born: 2}}, r.m.Collect(1, true).Engaged)
 }
+
+// A draining worker was left out of the load row while the end of its last run was
+// not stored, so that a successor did not wait for it and started the task again.
+func TestWorkerWithUnstoredEndsStaysInLoadRow(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	w.Draining = true
+	r.now = r.now.Add(time.Second)
+	r.m.Step(r.now, 0, r.registrations(), r.answerHold(Hold{Target: Target{Incarnation: w.Incarnation}}))
+	require.Empty(t, r.m.workers["a"].runs)
+	b := r.m.Collect(0, true) // has no room for the job
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1}}, b.Engaged)
+	r.m.Step(r.now, 0, Stored{Batch: b, OK: true})
+	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(1, true), OK: true})
+	require.Empty(t, r.m.Collect(1, true).Engaged)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -81,11 +81,11 @@
 }
 
 // belongsInLoadRow reports whether the load row must name the worker because it
-// has runs or may get some. The load row is the pool's row in the store with the
+// has runs or may get some, or because ends of its runs are not stored yet. The load row is the pool's row in the store with the
 // pool's status and these workers. A successor waits for the workers in the row,
 // so one that has no work and gets none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return len(w.runs) > 0 || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
+	return len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
