engine: without a valid lease, start tasks only on recent reports

Callers can see: after the machine that owned a pool was suspended for a few seconds, tasks run on both the old and the new owner's orders.

Cause: an owner that wakes up within 5 s after the end of its lease goes on with what it knew. The successor has fenced the workers, but a worker that restarted meanwhile has forgotten the token and carries out the old owner's starts.

Change: after the end of the lease, a task is started only at a worker whose last report was asked for less than 1 s ago, and workers are held each 400 ms so that this is the case. An old owner that wakes up thus asks first and learns of the restart.

A worker that restarts within that second can still be misled; the protocol has no means against it, as orders name a worker by its ID.

--- a/engine/place.go
+++ b/engine/place.go
@@ -238,6 +238,9 @@
 		m.needsPlacement = true
 		return false
 	}
+	if m.leaseEnded && now.Sub(w.lastHoldSent) > overrunFreshness {
+		return false // the answer to the next hold makes it usable
+	}
 	return w.registered && w.synced && w.inLoadRow && !w.gone && !w.suspect && !w.Draining && !m.toRelease[w.Machine]
 }
 
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -234,3 +234,24 @@
 	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(1, true), OK: true})
 	require.Empty(t, r.m.Collect(1, true).Engaged)
 }
+
+// An owner that had been suspended past the end of its lease started tasks at once
+// at workers that had restarted meanwhile and had forgotten its successor's token
+// (seed 1592 of the simulation of owners).
+func TestOwnerWithoutLeaseStartsNothingOnOldReports(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step()
+	r.now = r.now.Add(1900 * time.Millisecond)
+	r.m.SetLeaseValid(false)
+	for _, a := range r.m.Step(r.now, 0, testJob("j1", simpleStep(1))) {
+		_, isStart := a.(Start)
+		require.False(t, isStart)
+	}
+	r.step(r.answerHold(Hold{Target: Target{Incarnation: r.workers["a"].Incarnation}}))
+	r.advance(20 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	r.advance(4 * time.Second)
+	r.step(testJob("j2", simpleStep(1)))
+	r.advance(20 * time.Millisecond)
+	require.Len(t, r.starts, 2, "reports are recent during the overrun")
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/placement"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -27,6 +28,14 @@
 	holdGapPerBusyWorker = 600 * time.Microsecond
 	// idleHoldInterval is the time between holds of a worker without runs.
 	idleHoldInterval = 2 * time.Second
+	// overrunHoldWait and overrunHoldInterval replace holdWait and idleHoldInterval
+	// after the end of the owner's lease.
+	overrunHoldWait     = 400 * time.Millisecond
+	overrunHoldInterval = 400 * time.Millisecond
+	// overrunFreshness is the maximum age of a worker's last report with which
+	// tasks are started there after the end of the owner's lease. A successor fences
+	// the workers, but a worker that restarts forgets that.
+	overrunFreshness = time.Second
 	// holdRetryInterval is the time between holds of a worker that does not
 	// answer.
 	holdRetryInterval = 300 * time.Millisecond
@@ -187,8 +196,12 @@
 		if w.holdPending || w.gone || !w.registered && len(w.runs) == 0 {
 			continue
 		}
-		if now.Before(w.nextHold) {
-			m.wakeAt(w.nextHold)
+		due := w.nextHold
+		if m.leaseEnded && w.synced && !w.suspect {
+			due = times.Earlier(due, w.lastHoldSent.Add(overrunHoldInterval))
+		}
+		if now.Before(due) {
+			m.wakeAt(due)
 			continue
 		}
 		m.sendHold(now, w)
@@ -211,6 +224,9 @@
 		w.recordDeadline(now, h.Deadline)
 		if len(w.runs) > 0 && !m.needsPromptAnswer(w) {
 			h.Wait = holdWait
+			if m.leaseEnded {
+				h.Wait = overrunHoldWait
+			}
 		}
 	}
 	w.holdPending = true
