--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -59,6 +59,7 @@
 	if !p.Valid(now) {
 		events, p.events = splitNewJobs(events)
 	}
+	p.engine.SetLeaseValid(p.Valid(now))
 	p.engine.Pause(!d.jobsAreCurrent(now, p))
 	for _, a := range p.engine.Step(now, time.Now().UnixMilli(), events...) {
 		d.execute(ctx, p, a)
@@ -197,7 +198,8 @@
 	}
 	renew := !now.Before(renewAt)
 	var ops []store.Op
-	if p.engine != nil {
+	// An engine that is not stepped has not learned the outcome of its last batch.
+	if p.engine != nil && p.ValidWithin(now, leaseOverrun) {
 		ops = d.collectOps(now, p, renew || !now.Before(loadAt))
 	}
 	if !renew {
