engine: bound the open occurrences of a job and the size of a batch

All occurrences that were due were created at once. A job now has at most 700 tasks open (one occurrence always may be), over a span of at most 1,000 occurrences; the next ones open as others end, in the same Step.

A batch of 80 jobs with 700 failing tasks each would have been 5.1 MB in base64; the store accepts 1 MB in one call and would refuse it for ever, and with it the renewals of the pool's lease, which carry the batch. A batch now ends after 5,000 tasks. The progress of one job fits a row of 64 KiB by the limit on its tasks: 63,509 bytes for 700 done tasks with three failures and a checkpoint each.

Before: TestOpenOccurrencesAreBounded found 100,000 open occurrences instead of 4 (9.3 s), TestOccurrencesWaitForTheFirstOpenOne 100,000 instead of 1,000, TestBatchOfLargeJobsFitsATransaction 5,142,613 bytes against 900,000. TestProgressOfLargestJobFitsARow passed, since it uses the new limit. All pass with -race. Operators that allow more than some 5 attempts, and checkpoints longer than 16 characters, make a row of 700 tasks longer; not covered.

--- a/engine/job.go
+++ b/engine/job.go
@@ -122,6 +122,21 @@
 	return j.submission.Repeat.Start + int64(number)*j.submission.Repeat.Period
 }
 
+// maxOpenSpan is the maximum number of occurrences from the first open one to the
+// last. It bounds what is recorded of those in between that have ended.
+const maxOpenSpan = 1000
+
+// mayOpenNext reports whether a further occurrence may be open. One always may; more
+// of them must not have so many tasks that their progress exceeds a row of the store.
+func (j *job) mayOpenNext() bool {
+	tasks := 0
+	for i := range j.submission.Steps {
+		tasks += j.submission.Steps[i].Count
+	}
+	open := len(j.openOccurrences)
+	return open == 0 || (open+1)*tasks <= workload.MaxTasks && j.nextOccurrence-j.firstOpen < maxOpenSpan
+}
+
 // openNext creates the occurrence with number j.nextOccurrence.
 func (j *job) openNext(now time.Time) *occurrence {
 	o := &occurrence{job: j, number: j.nextOccurrence, due: now, openSteps: len(j.submission.Steps)}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -109,7 +109,9 @@
 	}
 	m.expireLeases(now)
 	m.openDueOccurrences(now)
-	m.closeFinished(now)
+	if m.closeFinished(now) {
+		m.openDueOccurrences(now) // there may be room for the next ones
+	}
 	m.superviseRuns(now)
 	m.evacuate(now)
 	m.place(now)
@@ -236,7 +238,8 @@
 	m.needsPlacement = true
 }
 
-// openDueOccurrences creates the occurrences that are due.
+// openDueOccurrences creates the occurrences that are due, as far as their job may
+// have more open ones.
 func (m *Scheduler) openDueOccurrences(now time.Time) {
 	for _, j := range m.arrivalOrder {
 		if j.state.Ended() {
@@ -252,14 +255,18 @@
 				j.nextOccurrence++
 				continue
 			}
+			if !j.mayOpenNext() {
+				break
+			}
 			j.openNext(now)
 			m.needsPlacement = true
 		}
 	}
 }
 
-// closeFinished closes occurrences, and then jobs, of which all tasks are done.
-func (m *Scheduler) closeFinished(now time.Time) {
+// closeFinished closes occurrences, and then jobs, of which all tasks are done. It
+// reports whether an occurrence was closed.
+func (m *Scheduler) closeFinished(now time.Time) (closed bool) {
 	for _, j := range m.arrivalOrder {
 		if j.state.Ended() {
 			continue
@@ -275,12 +282,13 @@
 				delete(j.finishedOccurrences, j.firstOpen)
 				j.firstOpen++
 			}
-			j.dirty = true
+			j.dirty, closed = true, true
 		}
 		if j.firstOpen == j.occurrenceCount() {
 			m.endJob(j, workload.Completed, "all tasks are done")
 		}
 	}
+	return closed
 }
 
 // dropEndedJobs removes jobs that have ended, whose final state is stored and
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -289,21 +289,28 @@
 	return false
 }
 
+// maxBatchTasks is the number of tasks after which a batch takes no further job. The
+// store accepts 1 MB in one call, and a task takes about 90 bytes, which base64 makes
+// 120.
+const maxBatchTasks = 5000
+
 // Collect returns the state to store, with at most limit jobs, and with the
 // content of the load row if withLoad is set. A Stored event must report the
 // outcome of the batch before Collect is called again.
 func (m *Scheduler) Collect(limit int, withLoad bool) *Batch {
 	b := &Batch{Jobs: map[string]workload.Progress{}, lastEnds: make(map[workload.Incarnation]int, len(m.sortedWorkers))}
-	complete := true
+	complete, tasks := true, 0
 	for _, j := range m.arrivalOrder {
 		if !j.dirty {
 			continue
 		}
-		if len(b.jobs) == limit {
+		if len(b.jobs) == limit || tasks >= maxBatchTasks {
 			complete = false
 			break
 		}
-		b.Jobs[j.submission.ID] = j.progress()
+		progress := j.progress()
+		tasks += len(progress.Tasks)
+		b.Jobs[j.submission.ID] = progress
 		b.jobs = append(b.jobs, j)
 		j.dirty, j.storing = false, true
 	}
