engine: keep ended occurrences out of a new owner's schedule

A task could run twice after a change of owner. Occurrences of a job may overlap. One that ended before an earlier one was not part of the stored progress: that holds the first occurrence that has not ended and the tasks of the open ones only. A new owner opened the ended occurrence again and started all of its tasks, although their ends had been acknowledged. It needs an occurrence that takes longer than the period of its job, and a takeover before it ends.

The progress now lists the later occurrences that have ended (at most 1,000, 6 KB). For it the limit of tasks falls from 700 to 600, so that the row still fits 64 KiB: 60,417 bytes for 600 done tasks with three failures and a checkpoint each beside 1,000 ended occurrences. A row without the field is read as before.

Found by reading the bounds of occurrences. Before: TestNewOwnerDoesNotRepeatAnEndedOccurrence failed, the second owner started occurrence 1.

--- a/engine/job.go
+++ b/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -107,6 +108,9 @@
 	if p := e.Progress; p != nil {
 		j.state, j.nextOccurrence, j.firstOpen, j.endedAt = p.State, p.NextOccurrence, p.NextOccurrence, p.Ended
 		j.storedProgress = p.Tasks
+		for _, number := range p.Finished {
+			j.finishedOccurrences[number] = true
+		}
 	}
 	return j
 }
@@ -246,6 +250,7 @@
 	if j.state.Ended() {
 		return p
 	}
+	p.Finished = slices.Sorted(maps.Keys(j.finishedOccurrences))
 	for _, o := range j.openOccurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
--- a/engine/limits_test.go
+++ b/engine/limits_test.go
@@ -63,6 +63,9 @@
 		e.Submission.Repeat = workload.Schedule{Count: workload.MaxOccurrences}
 		j := newJob(time.Unix(1000, 0), 0, e, testQueue)
 		j.nextOccurrence, j.firstOpen = workload.MaxOccurrences-1, workload.MaxOccurrences-1
+		for n := range maxOpenSpan {
+			j.finishedOccurrences[workload.MaxOccurrences-1-n] = true
+		}
 		o := j.openNext(time.Unix(1000, 0))
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -110,3 +113,26 @@
 	}
 	require.Len(t, stored, 80)
 }
+
+// An occurrence that had ended before an earlier one was not part of the stored
+// progress, and the next owner ran all of its tasks a second time.
+func TestNewOwnerDoesNotRepeatAnEndedOccurrence(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	e := testJob("j1", simpleStep(1))
+	e.Submission.Repeat = workload.Schedule{Count: 3}
+	r.step(e)
+	require.Len(t, r.starts, 3)
+	r.workers["a"].endRun(workload.TaskID{Job: "j1", Occurrence: 1}, 1, EndDone)
+	r.advance(time.Second)
+	progress := r.m.jobs["j1"].progress()
+	require.Equal(t, 0, progress.NextOccurrence)
+
+	next := newHarness(t, 2, nil, newWorker("b"))
+	e.Progress = &progress
+	next.step(e)
+	next.advance(time.Second)
+	for _, s := range next.starts {
+		require.NotEqual(t, 1, s.Task.Occurrence)
+	}
+	require.Len(t, next.starts, 2)
+}
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -12,8 +12,8 @@
 	// MaxTasks is the maximum number of tasks of one occurrence, and of all open
 	// occurrences of a job together. The progress of a job is one row of the store,
 	// which has at most 64 KiB; a task with three failures and a checkpoint takes
-	// about 90 bytes of it.
-	MaxTasks = 700
+	// about 90 bytes of it, and the numbers of ended occurrences up to 6 KB.
+	MaxTasks = 600
 	// MaxOccurrences is the maximum number of repetitions, a day of one each second.
 	MaxOccurrences = 100_000
 	// maxDue is the latest time at which an occurrence may be due, in Unix ms: the
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -187,6 +187,7 @@
 	State          JobState       `json:"state"`
 	Ended          int64          `json:"ended,omitempty"` // Unix ms of the end of the job; 0: not ended
 	NextOccurrence int            `json:"next,omitempty"`  // first occurrence that has not ended
+	Finished       []int          `json:"fin,omitempty"`   // later occurrences that have ended, ascending
 	Tasks          []TaskProgress `json:"tasks,omitempty"` // tasks with state to store
 }
 
