pools: survive progress and load rows that can't be used

A progress row with a negative step or index made the engine index a slice with it: the owner panicked, and so would each successor. A progress row that can't be decoded counted as none, so that its job was scheduled from the start and its done tasks ran again. A load row that can't be decoded made a new owner read the jobs again every 300 ms without end, and the pool stood still.

DecodeProgress validates the numbers; a job with undecodable progress is not scheduled and reported in the log; after an undecodable load row the new owner waits until every lease of the former owner has expired, by means of an id that no worker has.

--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -157,10 +157,16 @@
 	if errors.Is(err, store.ErrNotFound) {
 		return nil // the pool has had no owner yet
 	}
-	if err == nil {
-		result.load, err = rows.DecodeLoad(row.Value)
+	if err != nil {
+		return err
 	}
-	return err
+	if result.load, err = rows.DecodeLoad(row.Value); err != nil {
+		// Which workers the former owner used is not known. An id that no worker has
+		// makes the engine wait until all leases of the former owner have expired.
+		d.Log.Error("can't decode the load row of the former owner", "row", row.Key, "error", err)
+		result.load = rows.Load{Engaged: []engine.EngagedWorker{{}}}
+	}
+	return nil
 }
 
 func (d *Duty) handleJobsRead(result jobsRead) {
@@ -195,12 +201,14 @@
 func (d *Duty) addJobEvents(p *pool, result jobsRead) int {
 	progressByJob := map[string]*workload.Progress{}
 	for _, row := range result.progressRows {
+		id := row.Key[len(store.PrefixProgress(p.Name)):]
 		progress, err := rows.DecodeProgress(row.Value)
 		if err != nil {
-			d.Log.Warn("can't decode progress row", "row", row.Key, "error", err)
+			d.Log.Error("not scheduling a job whose progress row can't be decoded", "row", row.Key, "error", err)
+			progressByJob[id] = nil
 			continue
 		}
-		progressByJob[row.Key[len(store.PrefixProgress(p.Name)):]] = &progress
+		progressByJob[id] = &progress
 	}
 	jobs := 0
 	for _, row := range result.workRows {
@@ -214,7 +222,8 @@
 }
 
 // addWorkEvent queues an event for a row of the work table. It returns 1 if the
-// row is a submission to the pool, otherwise 0.
+// row is a submission to the pool that can be scheduled, otherwise 0. In
+// progressByJob, nil stands for progress that can't be decoded.
 func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
 	if c.Removed {
 		return 0
@@ -235,6 +244,10 @@
 		d.Log.Error("a stored job can't be scheduled", "row", c.Key, "error", err)
 		return 0
 	}
-	p.addEvent(engine.JobAdded{Submission: work, Progress: progressByJob[work.ID], Recovered: c.Version < p.TakenVersion && p.Control.Token > 1})
+	progress, found := progressByJob[work.ID]
+	if found && progress == nil {
+		return 0 // without its progress, done tasks would run again
+	}
+	p.addEvent(engine.JobAdded{Submission: work, Progress: progress, Recovered: c.Version < p.TakenVersion && p.Control.Token > 1})
 	return 1
 }
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -82,6 +82,7 @@
 	store.Feed
 	rows      map[string][]store.Row // by part of the work table
 	readParts []string
+	load      []byte // value of the load row; nil: a valid one
 }
 
 func (f *fakeStore) Parts(context.Context, string) ([]string, error) {
@@ -102,6 +103,9 @@
 	if key != store.KeyLoad("p") {
 		return store.Row{}, store.ErrNotFound
 	}
+	if f.load != nil {
+		return store.Row{Key: key, Value: f.load}, nil
+	}
 	value, err := rows.EncodeLoad(rows.Load{Engaged: []engine.EngagedWorker{{ID: "i-1", Born: 5}}})
 	return store.Row{Key: key, Value: value}, err
 }
@@ -185,6 +189,40 @@
 	require.Equal(t, 1, d.addWorkEvent(p, store.Change{Row: store.Row{Key: "work/q-0/00000000000000a1", Value: value}}, nil))
 }
 
+// A job whose progress row could not be decoded was scheduled as if nothing of it had
+// run, so that its done tasks ran a second time.
+func TestJobWithUndecodableProgressIsNotScheduled(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	row := func(key, value string) store.Row { return store.Row{Key: key, Value: []byte(value)} }
+	work := func(id string) store.Row {
+		return row("work/q-0/"+id, `{"id":"`+id+`","pool":"p","steps":[{"n":1,"size":{}}]}`)
+	}
+	d.addJobEvents(p, jobsRead{
+		workRows: []store.Row{work("00000000000000a1"), work("00000000000000a2"), work("00000000000000a3")},
+		progressRows: []store.Row{
+			row(store.KeyProgress("p", "00000000000000a1"), "\xff"), row(store.KeyProgress("p", "00000000000000a2"), `{"tasks":[{"i":-1}]}`),
+		},
+	})
+	require.Len(t, p.events, 1)
+	require.Equal(t, "00000000000000a3", p.events[0].(engine.JobAdded).Submission.ID)
+}
+
+// A new owner whose predecessor's load row could not be decoded read the jobs again and
+// again, and the pool stood still.
+func TestUndecodableLoadRowDelaysRecoveredJobsOnly(t *testing.T) {
+	f := &fakeStore{rows: map[string][]store.Row{}, load: []byte("\xff")}
+	d := newDuty()
+	d.Table, d.Feed = f, f
+	p := d.addPool("p")
+	d.startReadJobs(context.Background(), p)
+	r := (<-d.results.C()).(jobsRead)
+	require.NoError(t, r.err)
+	// A worker that never answers, so that the leases of the unknown ones expire first.
+	require.Equal(t, []engine.EngagedWorker{{}}, r.load.Engaged)
+}
+
 // Live workers were removed because their registrations had lapsed during an
 // outage of the store.
 func TestRegistrationsLapsedInOutageAreKept(t *testing.T) {
--- a/rows/rows_test.go
+++ b/rows/rows_test.go
@@ -135,3 +135,18 @@
 		})
 	}
 }
+
+// A negative step or index in a progress row made the owner of its pool panic, and
+// each successor that read the row too.
+func TestProgressWithNegativeNumbersIsInvalid(t *testing.T) {
+	for _, bad := range []string{
+		`{"tasks":[{"s":-1}]}`, `{"tasks":[{"i":-1}]}`, `{"tasks":[{"k":-1}]}`, `{"tasks":[{"f":-1}]}`, `{"tasks":[{"r":-1}]}`,
+		`{"tasks":[{"r":9223372036854775807}]}`, `{"next":-1}`, `{"next":9223372036854775807}`, `{"fin":[-1]}`,
+	} {
+		_, err := DecodeProgress([]byte(bad))
+		require.Error(t, err, bad)
+	}
+	p, err := DecodeProgress([]byte(`{"state":"running","next":2,"fin":[4],"tasks":[{"k":3,"s":1,"i":2,"r":1001}]}`))
+	require.NoError(t, err)
+	require.Equal(t, 1001, p.Tasks[0].LastAttempt)
+}
--- a/rows/work.go
+++ b/rows/work.go
@@ -1,6 +1,8 @@
 package rows
 
 import (
+	"fmt"
+
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/lease"
 	"github.com/carobwharf/carobwharf/workload"
@@ -17,9 +19,16 @@
 // EncodeProgress encodes the progress of a job.
 func EncodeProgress(p workload.Progress) ([]byte, error) { return encode("progress", p) }
 
-// DecodeProgress decodes the progress of a job.
+// DecodeProgress decodes the progress of a job and validates it.
 func DecodeProgress(value []byte) (workload.Progress, error) {
-	return decode[workload.Progress]("progress", value)
+	p, err := decode[workload.Progress]("progress", value)
+	if err != nil {
+		return p, err
+	}
+	if err := p.Validate(); err != nil {
+		return p, fmt.Errorf("decode progress: %w", err)
+	}
+	return p, nil
 }
 
 // Control is the value of a lease row in the table store.TableControl: the lease
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -75,3 +75,25 @@
 	}
 	return nil
 }
+
+// maxAttempt bounds the number of an attempt, so that the next one can't overflow.
+const maxAttempt = 1 << 53
+
+// Validate returns an error if the numbers of p can't be those of a job.
+func (p *Progress) Validate() error {
+	if p.NextOccurrence < 0 || p.NextOccurrence > MaxOccurrences {
+		return fmt.Errorf("next occurrence is %d, want 0 to %d", p.NextOccurrence, MaxOccurrences)
+	}
+	for _, number := range p.Finished {
+		if number < 0 || number > MaxOccurrences {
+			return fmt.Errorf("occurrence %d has ended, want 0 to %d", number, MaxOccurrences)
+		}
+	}
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		if t.Occurrence < 0 || t.Step < 0 || t.Index < 0 || t.Failures < 0 || t.LastAttempt < 0 || t.LastAttempt > maxAttempt {
+			return fmt.Errorf("task %d.%d.%d with %d failures and %d attempts has a number out of range", t.Occurrence, t.Step, t.Index, t.Failures, t.LastAttempt)
+		}
+	}
+	return nil
+}
