intake: answer a submission that no row can hold as malformed

A submission within the limit of a body (1 MB) can exceed a row of the store (64 KiB), by long labels for example. The store's refusal read as 'store away': the call was retried for 300 ms, and the caller was answered 503 with a Retry-After, so that it came back with a job that can never be stored. The size is now checked before the call, and the answer is 400.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -99,6 +99,7 @@
 	NotFound           // the row to read does not exist
 	Unavailable        // the call had no effect
 	Unknown            // the call may have taken effect
+	TooLarge           // an Insert was not executed, because no row can hold the submission
 )
 
 // Answer is the store's answer to a Call.
@@ -304,6 +305,10 @@
 }
 
 func (h *Handler) handleInsert(p *pendingRequest, a Answer) {
+	if a.Result == TooLarge {
+		h.addReply(p, Reply{Outcome: Malformed, Reason: "the job is too large to be stored"})
+		return
+	}
 	if a.Result == Exists && !sameSubmission(a.Submission, p.Submission) {
 		h.addReply(p, Reply{Outcome: IDConflict, Reason: "the id belongs to another job"})
 		return
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+// A submission that no row can hold was refused as if the store were away, and its
+// caller was asked to come back with it for ever.
+func TestSubmissionTooLargeForARowIsMalformed(t *testing.T) {
+	h := newConfiguredHandler(t)
+	h.HandleRequest(start, newRequest(Submit, "/a/"+jobID))
+	onlyCall(t, h)
+	h.HandleAnswer(start, Answer{Number: 1, Op: Insert, Result: TooLarge})
+	r := onlyReply(t, h)
+	require.Equal(t, Malformed, r.Outcome)
+	require.NotEmpty(t, r.Reason)
+	require.Zero(t, h.Pending())
+}
+
 // If the store is unavailable, the caller must be refused well before its
 // deadline, so that it can retry at another VM.
 func TestRefusalIsEarlyWithRetryTime(t *testing.T) {
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -229,6 +229,10 @@
 	if err != nil {
 		return err
 	}
+	if len(value) > rows.MaxWorkBytes {
+		a.Result = intake.TooLarge
+		return nil
+	}
 	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: key, Value: value}})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
--- a/rows/work.go
+++ b/rows/work.go
@@ -8,6 +8,10 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
+// MaxWorkBytes is the maximum size of a submission's row. It is the limit of the
+// platform's store for one value.
+const MaxWorkBytes = 64 << 10
+
 // EncodeWork encodes a caller's submission of work.
 func EncodeWork(s workload.Submission) ([]byte, error) { return encode("submission", s) }
 
