systemtest: let odd entries come and go during the fault soak

The soak had only valid entries of workers, and a node that ended by itself was started again without a word, as one that had been killed. Odd rows (bytes, missing fields, nesting, ports, numbers, an unknown state or service, another part) are now written beside the workers' entries or in place of one, and removed again, by random numbers of their own: the other faults of a seed stay the same. A node that exits without having been killed or terminated is a finding.

--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -50,9 +50,11 @@
 }
 
 // Runs jobs while node processes are terminated, paused, killed and cut off from
-// the store and the workers, and the store loses answers and drops its history.
+// the store and the workers, the store loses answers and drops its history, and odd
+// rows come and go among the workers' entries.
 // Guards against lost jobs, duplicate runs, runs that nobody requested, tasks
-// that start before their dependencies and contradictory job states.
+// that start before their dependencies, contradictory job states and processes that
+// end by themselves.
 func TestFaultSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs real processes for several minutes")
@@ -86,6 +88,7 @@
 	t              *testing.T
 	seed           uint64
 	random         *rand.Rand
+	entryRandom    *rand.Rand // for the odd entries
 	dir            string
 	platform       *users.Platform
 	nodes          []*soakNode
@@ -103,11 +106,12 @@
 	settingsFile string
 	process      *child
 	paused       bool // by SIGSTOP
+	mayExit      bool // it was killed or terminated
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 17)), dir: t.TempDir(), checker: newSoakChecker(),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 17)), entryRandom: rand.New(rand.NewPCG(seed, 18)), dir: t.TempDir(), checker: newSoakChecker(),
 		updates: make(chan func(*soakChecker), 256),
 	}
 	var err error
@@ -189,7 +193,7 @@
 	log, err := os.OpenFile(filepath.Join(s.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(s.t, err)
 	n.process = startProcessObserved(s.t, n.name, parseNodeReady, func(line string) { _, _ = fmt.Fprintln(log, line) }, "node", "--settings", n.settingsFile)
-	n.paused = false
+	n.paused, n.mayExit = false, false
 }
 
 // parseNodeReady returns an empty map for the log line that reports the start of
--- a/internal/systemtest/soakload_test.go
+++ b/internal/systemtest/soakload_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -143,14 +144,49 @@
 		} else {
 			s.injectedFaults = append(s.injectedFaults, kinds[s.random.IntN(len(kinds))]())
 		}
+		s.changeEntries()
 		time.Sleep(time.Duration(150+s.random.IntN(700)) * time.Millisecond)
 	}
 }
 
+// oddEntries are values that no worker writes, with %s in place of the pool's name. An
+// entry with such a value names no worker to use.
+var oddEntries = []string{
+	"\xff\x00", ``, `7`, `[]`, `{"service":"%s"}`, strings.Repeat("[", 20_000), strings.Repeat(`{"a":`, 20_000),
+	`{"service":"%s","addr":"10.0.0.1:99999","zone":"z","state":"ready","capacity":{"cpu":16000,"mem-mb":32768}}`,
+	`{"service":"%s","addr":"10.0.0.1","zone":"z","state":"ready","capacity":{"cpu":16000,"mem-mb":32768}}`,
+	`{"service":"%s","addr":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":9223372036854775807,"mem-mb":1}}`,
+	`{"service":"%s","addr":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":1e400,"mem-mb":1}}`,
+	`{"service":"%s","addr":"127.0.0.1:1","zone":"z","state":"ready","born":-1,"capacity":{"cpu":16000,"mem-mb":32768}}`,
+	`{"service":"%s","addr":"127.0.0.1:1","zone":"z","state":"resting","capacity":{"cpu":16000,"mem-mb":32768}}`,
+	`{"service":"unknown","addr":"127.0.0.1:1","zone":"z","state":"ready","remaining-ms":1e300,"capacity":{"cpu":16000,"mem-mb":32768}}`,
+}
+
+// changeEntries writes odd rows among the workers' entries and sometimes removes them
+// all. It has random numbers of its own, so that the faults of a seed stay the same.
+func (s *soak) changeEntries() {
+	if s.entryRandom.IntN(3) == 0 {
+		s.platform.RestoreEntries()
+		return
+	}
+	value := []byte(strings.Replace(oddEntries[s.entryRandom.IntN(len(oddEntries))], "%s", users.Pool, 1))
+	ids := s.platform.WorkerIDs()
+	id := ids[s.entryRandom.IntN(len(ids))]
+	switch s.entryRandom.IntN(4) {
+	case 0:
+		s.platform.WriteEntry("", id, value) // in place of the worker's own entry
+	case 1:
+		s.platform.WriteEntry("other", id, value)
+	default:
+		s.platform.WriteEntry("", fmt.Sprintf("odd-%d", s.entryRandom.IntN(20)), value)
+	}
+}
+
 // clearFaults ends all faults and restarts nodes that have exited.
 func (s *soak) clearFaults() {
 	s.platform.SetStoreDown(false)
 	s.platform.SetFaults(users.Faults{})
+	s.platform.RestoreEntries()
 	for _, p := range s.workerProxies {
 		p.setMode(modePass)
 	}
@@ -160,10 +196,21 @@
 			n.process.signal(syscall.SIGCONT)
 			n.paused = false
 		}
-		if n.process.exited() {
-			s.startNode(n)
-		}
+		s.restartExited(n)
+	}
+}
+
+// restartExited starts a node again that has exited. One that was neither killed nor
+// terminated has ended by itself, which is a finding.
+func (s *soak) restartExited(n *soakNode) {
+	if !n.process.exited() {
+		return
+	}
+	if !n.mayExit {
+		exit := n.process.describeExit()
+		s.postUpdate(func(c *soakChecker) { c.addFinding("%s ended by itself: %s", n.name, exit) })
 	}
+	s.startNode(n)
 }
 
 func (s *soak) randomNode() *soakNode { return s.nodes[s.random.IntN(len(s.nodes))] }
@@ -174,13 +221,12 @@
 		n.process.signal(syscall.SIGCONT)
 		n.paused = false
 	}
-	if n.process.exited() {
-		s.startNode(n)
-	}
+	s.restartExited(n)
 }
 
 func (s *soak) killNode() string {
 	n := s.randomNode()
+	n.mayExit = true
 	n.process.kill()
 	n.paused = false
 	if s.random.IntN(2) == 0 {
@@ -203,6 +249,7 @@
 func (s *soak) terminateNode() string {
 	n := s.randomNode()
 	s.ensureRunning(n)
+	n.mayExit = true
 	n.process.signal(syscall.SIGHUP)
 	n.process.signal(syscall.SIGTERM)
 	return "terminate " + n.name
--- a/standin/users/faults.go
+++ b/standin/users/faults.go
@@ -88,6 +88,29 @@
 	})
 }
 
+// WriteEntry stores a row in the table of the workers' entries, as another writer
+// may. It may replace the entry of a worker.
+func (p *Platform) WriteEntry(part, key string, value []byte) {
+	p.do(func() { p.store.set(rowKey{"servers", part, key}, value) })
+}
+
+// RestoreEntries removes the rows of WriteEntry, and the workers write their entries
+// again.
+func (p *Platform) RestoreEntries() {
+	p.do(func() {
+		var tx transaction
+		for key := range p.store.rows {
+			if key.Table == "servers" && (key.Part != "" || p.workers[key.Key] == nil) {
+				tx.Remove = append(tx.Remove, key)
+			}
+		}
+		p.store.apply(tx)
+		for _, w := range p.workers {
+			p.register(w)
+		}
+	})
+}
+
 // SetQueues publishes a configuration with n queues in addition to the default
 // one.
 func (p *Platform) SetQueues(n int) {
