engine: take the machine size from workers that answer

The fleet's owner divides a pool's load by the greatest capacity of its registrations. One registration of another writer with valid fields and 9,000 cores, whose worker does not exist, made every pool seem to need one or two machines, so that the rest would have gone to the standby pool. Only workers that have answered this owner count now. Before the first answer of a pool, about one call after a takeover, the size is not known, and the planner uses the next pool's or plans no move, as it does for a pool without workers.

Before: TestSilentRegistrationDoesNotSetTheMachineSize found 9,000,000 instead of 16,000. It passes with -race.

--- a/engine/limits_test.go
+++ b/engine/limits_test.go
@@ -136,3 +136,15 @@
 	}
 	require.Len(t, next.starts, 2)
 }
+
+// A registration whose worker never answered set the size of the pool's machines, by
+// which the fleet's owner divides the load: one of another writer with 9,000 cores made
+// the pool give all of its machines away.
+func TestSilentRegistrationDoesNotSetTheMachineSize(t *testing.T) {
+	bogus := newWorker("b")
+	bogus.silent, bogus.Capacity.MilliCores = true, 9_000_000
+	r := newHarness(t, 1, nil, newWorker("a"), bogus)
+	r.step(testJob("j1", simpleStep(1)))
+	r.advance(time.Second)
+	require.Equal(t, r.workers["a"].Capacity.MilliCores, r.m.Status(r.now).LargestMachine)
+}
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -373,8 +373,8 @@
 	Spread         int             `json:"spread,omitempty"` // number of machines that the long-running step with the widest spread needs
 	Machines       []MachineStatus `json:"machines,omitempty"`
 	ReleaseVersion uint64          `json:"release,omitempty"` // version of the fleet's row that Released refers to
-	// LargestMachine is the greatest capacity of any machine, in thousandths of a
-	// core.
+	// LargestMachine is the greatest capacity of any machine whose worker has answered
+	// this owner, in thousandths of a core.
 	LargestMachine int `json:"per,omitempty"`
 }
 
@@ -419,7 +419,9 @@
 		if !w.registered || w.gone {
 			continue
 		}
-		s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		if w.synced { // a registration of another writer has no worker that answers
+			s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		}
 		for _, r := range w.runs {
 			if r.task.step.spec.LongRunning {
 				s.LongRunning += r.task.step.demand().MilliCores
