--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -235,6 +235,7 @@
 	Engaged   []EngagedWorker              // all workers that have or may get runs, for the load row
 	lastEnds  map[workload.Incarnation]int // number of the last end of each worker that the batch covers
 	inLoadRow map[string]int64             // start times of the workers in the load row, by ID
+	tasks     int                          // in Jobs
 	jobs      []*job
 }
 
@@ -289,6 +290,11 @@
 	return false
 }
 
+// maxBatchTasks is the number of tasks after which a batch takes no further job. The
+// store accepts 1 MB in one call, and a task takes about 90 bytes, which base64 makes
+// 120.
+const maxBatchTasks = 5000
+
 // Collect returns the state to store, with at most limit jobs, and with the
 // content of the load row if withLoad is set. A Stored event must report the
 // outcome of the batch before Collect is called again.
@@ -307,17 +313,19 @@
 	return b
 }
 
-// collectJobs adds jobs with changes to the batch, until it has limit jobs: with
-// ended those that have ended, for which callers are waiting, otherwise the others.
+// collectJobs adds jobs with changes to the batch, until it is full: with ended
+// those that have ended, for which callers are waiting, otherwise the others.
 func (m *Scheduler) collectJobs(b *Batch, limit int, ended bool) {
 	for _, j := range m.arrivalOrder {
-		if len(b.jobs) == limit {
+		if len(b.jobs) == limit || b.tasks >= maxBatchTasks {
 			return
 		}
 		if !j.dirty || j.state.Ended() != ended {
 			continue
 		}
-		b.Jobs[j.submission.ID] = j.progress()
+		progress := j.progress()
+		b.tasks += len(progress.Tasks)
+		b.Jobs[j.submission.ID] = progress
 		b.jobs = append(b.jobs, j)
 		j.dirty, j.storing = false, true
 	}
@@ -388,8 +396,8 @@
 	Spread         int             `json:"spread,omitempty"` // number of machines that the long-running step with the widest spread needs
 	Machines       []MachineStatus `json:"machines,omitempty"`
 	ReleaseVersion uint64          `json:"release,omitempty"` // version of the fleet's row that Released refers to
-	// LargestMachine is the greatest capacity of any machine, in thousandths of a
-	// core.
+	// LargestMachine is the greatest capacity of any machine whose worker has answered
+	// this owner, in thousandths of a core.
 	LargestMachine int `json:"per,omitempty"`
 }
 
@@ -434,7 +442,9 @@
 		if !w.registered || w.gone {
 			continue
 		}
-		s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		if w.synced { // a registration of another writer has no worker that answers
+			s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		}
 		for _, r := range w.runs {
 			if r.task.step.spec.LongRunning {
 				s.LongRunning += r.task.step.demand().MilliCores
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -12,8 +12,8 @@
 	// MaxTasks is the maximum number of tasks of one occurrence, and of all open
 	// occurrences of a job together. The progress of a job is one row of the store,
 	// which has at most 64 KiB; a task with three failures and a checkpoint takes
-	// about 90 bytes of it.
-	MaxTasks = 700
+	// about 90 bytes of it, and the numbers of ended occurrences up to 6 KB.
+	MaxTasks = 600
 	// MaxOccurrences is the maximum number of repetitions, a day of one each second.
 	MaxOccurrences = 100_000
 	// maxDue is the latest time at which an occurrence may be due, in Unix ms: the
@@ -75,3 +75,25 @@
 	}
 	return nil
 }
+
+// maxAttempt bounds the number of an attempt, so that the next one can't overflow.
+const maxAttempt = 1 << 53
+
+// Validate returns an error if the numbers of p can't be those of a job.
+func (p *Progress) Validate() error {
+	if p.NextOccurrence < 0 || p.NextOccurrence > MaxOccurrences {
+		return fmt.Errorf("next occurrence is %d, want 0 to %d", p.NextOccurrence, MaxOccurrences)
+	}
+	for _, number := range p.LaterEnded {
+		if number < 0 || number > MaxOccurrences {
+			return fmt.Errorf("occurrence %d has ended, want 0 to %d", number, MaxOccurrences)
+		}
+	}
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		if t.Occurrence < 0 || t.Step < 0 || t.Index < 0 || t.Failures < 0 || t.LastAttempt < 0 || t.LastAttempt > maxAttempt {
+			return fmt.Errorf("task %d.%d.%d with %d failures and %d attempts has a number out of range", t.Occurrence, t.Step, t.Index, t.Failures, t.LastAttempt)
+		}
+	}
+	return nil
+}
