store: let a stop of an unknown run refuse its start

A holder that gives up a run which its worker does not know has no way to make sure that the run does not start afterwards: a start by another holder, or one that was delayed, can arrive after every answer that the holder has seen.

Change: the contract of Workers.Stop says that after ErrNotFound or ErrFenced no run with this token can be started, and that a stop shows how a run ended also after the loss of its worker (the stand-in did that already). The stand-in records the token of a stop of an unknown run as seen, so that it refuses a start with the same token as fenced.

--- a/peer/worker/wire/wire.go
+++ b/peer/worker/wire/wire.go
@@ -12,7 +12,8 @@
 //
 // Other responses have a Problem as their body: 404 for an unknown task or
 // worker, 409 with one of the codes below, 400, 429 and 503. Only calls answered
-// with 200 change anything.
+// with 200 change anything, except that a stop answered with 404 makes later
+// starts with its token fenced.
 package wire
 
 import "github.com/carobwharf/carobwharf/store"
--- a/standin/platform/task_operations.go
+++ b/standin/platform/task_operations.go
@@ -43,7 +43,7 @@
 
 func (o updateTask) apply(s *state) reply {
 	now := s.now()
-	return runReply(s.tasks.updateRun(o.hold.Hold, now, func(r *run) error {
+	run, err := s.tasks.updateRun(o.hold.Hold, now, func(r *run) error {
 		switch o.path {
 		case wire.PathRenew:
 			r.leaseEnd = now.Add(o.hold.Lease)
@@ -55,7 +55,11 @@
 			r.stopped = now
 		}
 		return nil
-	}))
+	})
+	if o.path == wire.PathStop && errors.Is(err, store.ErrNotFound) {
+		s.tasks.refuseStarts(o.hold.Hold)
+	}
+	return runReply(run, err)
 }
 
 type readUsageReport struct {
--- a/standin/platform/tasks.go
+++ b/standin/platform/tasks.go
@@ -259,6 +259,11 @@
 	return r.report(now), nil
 }
 
+// refuseStarts makes the worker refuse starts of a run that is unknown.
+func (t *taskTable) refuseStarts(hold store.Hold) {
+	t.highestToken[hold.Task] = max(t.highestToken[hold.Task], hold.Token)
+}
+
 // throttle changes the run's millicores, to at most the declared ones.
 func (t *taskTable) throttle(r *run, milliCores int, now time.Time) error {
 	more := milliCores - r.milliCoresAt(now)
--- a/standin/platform/tasks_test.go
+++ b/standin/platform/tasks_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/carobwharf/carobwharf/peer/worker/wire"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/structs"
 )
@@ -102,6 +103,20 @@
 	}
 }
 
+// Guards against a run that starts after a holder was told that there is none: a
+// start that was sent earlier can arrive after the stop.
+func TestNoStartAfterStopOfUnknownRun(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.VMs = []structs.VM{{ID: "v1", Cores: 1}}
+	s := newState(cfg, new(atomic.Int64))
+	start := func(token uint64) int {
+		return startTask{store.Task{ID: "a", Worker: "v1", Token: token, MilliCores: 1, Lease: time.Hour, Declared: time.Hour}}.apply(s).status
+	}
+	require.Equal(t, 404, updateTask{wire.PathStop, wire.Hold{Hold: store.Hold{Task: "a", Token: 2}}}.apply(s).status)
+	require.Equal(t, 409, start(2))
+	require.Equal(t, 200, start(3))
+}
+
 // Guards against a run time that differs between runs of the same task, and
 // against one that equals the declared run time despite a sigma above 0.
 func TestSampledRunTimeDependsOnlyOnTheTask(t *testing.T) {
--- a/store/workers.go
+++ b/store/workers.go
@@ -90,6 +90,10 @@
 	// one. It returns ErrNoRoom if an increase exceeds the worker's free
 	// processors.
 	Throttle(ctx context.Context, h Hold, milliCores int) (Run, error)
+	// Stop ends the run. The answer shows how the run ended, also after the loss
+	// of its worker. If Stop returns ErrNotFound or ErrFenced, no run of the task
+	// with this token can be started any more, not even by a call that was sent
+	// earlier.
 	Stop(ctx context.Context, h Hold) (Run, error)
 	// Usage returns at most limit runs whose task sorts after the given one,
 	// ordered by task and token. The report lags behind the actual state, and
