jobs: leave a run only when its worker has said how it ended

TestOverlappingHolders: a job was completed twice, under two fencing tokens.

Cause, from a trace of both holders: the row names a run, and every holder may start it. One holder's start was answered "no room", so it took the run as never started and wrote the row as queued. The same mistake, ending a run on what this process alone has seen, is in the expiry of a run without reports, which may have ended as done, and in the end of a run that this process has not asked a worker to start.

Change: before the row leaves a run whose end is not known, the machine stops the run at its worker. A final state decides how the job goes on (done counts, whatever was decided meanwhile; a checkpoint is kept); "not found" means that the worker refuses a later start. Until there is an answer the stop is repeated and the row is not changed. Ruled out as a remedy: waiting longer, since a start by another holder or a late one has no bound.

--- a/daemon/controller/jobs/machine/advance.go
+++ b/daemon/controller/jobs/machine/advance.go
@@ -9,7 +9,8 @@
 
 // advanceJob emits the next action for the job: a read if its row may have
 // changed, a write if the row differs from the desired one, or a call to the
-// worker. At most one of each is in flight per job.
+// worker. Before the row leaves a run, the worker is told to stop it, which shows
+// how it ended. At most one of each is in flight per job.
 func (m *Machine) advanceJob(now time.Time, j *job) {
 	if j.desired.Cancel && !j.desired.State.Ended() && !j.pool.scheduler.Has(j.id()) {
 		m.endJob(j, structs.JobCancelled, "")
@@ -21,6 +22,10 @@
 	case j.needsRead:
 		j.reading = true
 		m.emit(ReadJob{ID: j.id()})
+	case j.leavesOpenRun():
+		if !j.calling {
+			m.startCall(j, Call{Kind: CallStop})
+		}
 	case j.desired != j.row:
 		j.writing = true
 		w := j.desired
@@ -44,6 +49,11 @@
 	}
 	c := j.pendingCalls[0]
 	j.pendingCalls = j.pendingCalls[1:]
+	m.startCall(j, c)
+}
+
+// startCall emits a call for the run that the row names.
+func (m *Machine) startCall(j *job, c Call) {
 	c.Job, c.Worker, c.Token, c.Lease = j.id(), j.row.Worker, j.row.Token, m.cfg.TaskLease
 	if c.Kind == CallStart {
 		s := j.row.Spec
@@ -98,6 +108,7 @@
 	j.needsRead = false
 	if e.Job.Version == j.row.Version { // the write had no effect and will be repeated
 		if j.fenced {
+			j.closedToken = j.row.Token // the worker refuses every start with this token
 			m.requeueUnstarted(now, j)
 		}
 		return
--- a/daemon/controller/jobs/machine/calls.go
+++ b/daemon/controller/jobs/machine/calls.go
@@ -30,6 +30,9 @@
 	case OutcomeNoCapacity:
 		m.handleNoCapacity(now, j, e.Call)
 	case OutcomeNotFound:
+		if e.Call.Kind == CallStop {
+			j.closedToken = e.Call.Token // the worker refuses later starts
+		}
 		if e.Call.Kind == CallStart {
 			m.requeueUnstarted(now, j)
 		} else {
@@ -51,6 +54,11 @@
 		}
 	}
 	j.retryAt = now.Add(m.cfg.RetryDelay)
+	if j.leavesOpenRun() {
+		// The next run waits for this call; its lease has not begun.
+		m.report(now, j, placement.Report{Kind: placement.ReportRunning, Job: j.id(), Token: j.desired.Token})
+		return
+	}
 	if j.desired.Token == e.Call.Token && !j.hasPendingStop() {
 		j.pendingCalls = append([]Call{{Kind: e.Call.Kind, MilliCores: e.Call.MilliCores}}, j.pendingCalls...)
 	}
@@ -98,9 +106,12 @@
 // applyRunState processes the state of a run as its worker reports it. Only the
 // run that the row names is considered. Every state except running is final.
 func (m *Machine) applyRunState(now time.Time, j *job, r Run) {
-	if r.Token != j.row.Token || j.row.State != structs.JobRunning || j.desired.State.Ended() {
+	if r.Token != j.row.Token || j.row.State != structs.JobRunning || j.desired.State == structs.JobDone {
 		return
 	}
+	if r.State != RunRunning {
+		j.closedToken = r.Token
+	}
 	report := placement.Report{Job: j.id(), Token: r.Token, Used: j.peakUsage, Ran: r.Ran, Progress: r.Checkpoint}
 	switch r.State {
 	case RunRunning:
@@ -131,11 +142,13 @@
 	m.markDirty(j)
 	accepted := m.report(now, j, r)
 	j.pool.dirty = true
+	j.desired.Progress = max(j.desired.Progress, r.Progress)
 	switch {
 	case r.Kind == placement.ReportFinished:
 		if !accepted {
 			j.pool.scheduler.Drop(j.id())
 		}
+		j.desired.Token, j.desired.Starts = j.row.Token, j.row.Starts // a later run was not started
 		m.endJob(j, structs.JobDone, "")
 		return
 	case j.desired.Token != r.Token || j.desired.State != structs.JobRunning:
@@ -144,9 +157,6 @@
 	if r.Kind == placement.ReportFailed {
 		j.desired.Failures++
 	}
-	if r.Progress > j.desired.Progress {
-		j.desired.Progress = r.Progress
-	}
 	m.requeue(j)
 }
 
--- a/daemon/controller/jobs/machine/doc.go
+++ b/daemon/controller/jobs/machine/doc.go
@@ -10,6 +10,10 @@
 // or that overlaps with another one therefore has its writes rejected by the
 // version check and its calls rejected by the worker.
 //
+// Every holder may start the run that the row names, so a holder that gives the
+// run up first stops it at its worker. The row leaves the run only when the worker
+// has said how it ended or refuses to start it.
+//
 // A fencing token has the token of the pool's lease in its upper 32 bits and a
 // counter in the lower 32 bits, so a later holder's tokens are always greater.
 package machine
--- a/daemon/controller/jobs/machine/job.go
+++ b/daemon/controller/jobs/machine/job.go
@@ -27,10 +27,19 @@
 	requestedToken uint64         // token of the last run that a worker was asked to start
 	startAttempts  int            // start calls of this run that had no effect
 	fenced         bool           // the worker rejected the row's token as too low
+	closedToken    uint64         // token of the last run that has ended or can no longer be started
 }
 
 func (j *job) id() string { return j.row.Spec.ID }
 
+// leavesOpenRun reports whether writing the desired row would give up the run
+// that the row names although it may be running, may have ended as done, or may
+// still be started by another holder or by a late call.
+func (j *job) leavesOpenRun() bool {
+	return j.row.State == structs.JobRunning && j.closedToken != j.row.Token &&
+		(j.desired.State != structs.JobRunning || j.desired.Token != j.row.Token)
+}
+
 func (j *job) declaredJob() placement.Job {
 	s := j.row.Spec
 	return placement.Job{
