jobs: apply a fenced call only to the run that it was for

Cause: a call for a run that has ended is answered "fenced" while the row of the next run is being written. The machine then reads the row, finds it unchanged and gives up the run that the row names, which is the next one and was never fenced: it can be running, started by another holder.

Change: the machine keeps the token that was fenced instead of a flag.

--- a/daemon/controller/jobs/machine/advance.go
+++ b/daemon/controller/jobs/machine/advance.go
@@ -107,13 +107,12 @@
 	}
 	j.needsRead = false
 	if e.Job.Version == j.row.Version { // the write had no effect and will be repeated
-		if j.fenced {
+		if j.fencedToken == j.row.Token {
 			j.closedToken = j.row.Token // the worker refuses every start with this token
 			m.requeueUnstarted(now, j)
 		}
 		return
 	}
-	j.fenced = false
 	intended := j.desired
 	intended.Version, intended.Holder, intended.Cancel = e.Job.Version, e.Job.Holder, e.Job.Cancel
 	if intended == *e.Job { // the write took effect, or another holder wrote the same row
--- a/daemon/controller/jobs/machine/calls.go
+++ b/daemon/controller/jobs/machine/calls.go
@@ -26,7 +26,7 @@
 	case OutcomeDone:
 		m.applyCallResult(now, j, e)
 	case OutcomeFenced:
-		j.needsRead, j.fenced = true, true
+		j.needsRead, j.fencedToken = true, e.Call.Token
 	case OutcomeNoCapacity:
 		m.handleNoCapacity(now, j, e.Call)
 	case OutcomeNotFound:
@@ -163,7 +163,6 @@
 // requeueUnstarted returns a job to the queue whose worker did not accept its
 // run.
 func (m *Machine) requeueUnstarted(now time.Time, j *job) {
-	j.fenced = false
 	m.markDirty(j)
 	j.pool.dirty = true
 	if j.pool.scheduler.Requeue(j.id(), j.row.Token, now) && j.desired.Token == j.row.Token {
--- a/daemon/controller/jobs/machine/job.go
+++ b/daemon/controller/jobs/machine/job.go
@@ -26,7 +26,7 @@
 	dirty          bool           // is in Machine.dirty
 	requestedToken uint64         // token of the last run that a worker was asked to start
 	startAttempts  int            // start calls of this run that had no effect
-	fenced         bool           // the worker rejected the row's token as too low
+	fencedToken    uint64         // last token that the worker rejected as too low
 	closedToken    uint64         // token of the last run that has ended or can no longer be started
 }
 
