engine: finish jobs that have begun before new ones start

Callers of jobs with several steps got them late, though the first step had run in time. Within one urgency and priority, steps were placed by least remaining work, so a smaller job that arrived meanwhile took the capacity between two steps, and the work done so far was lost to the caller.

Steps of occurrences with a task that has had a run are now placed first.

--- a/engine/job.go
+++ b/engine/job.go
@@ -30,7 +30,8 @@
 	number    int
 	due       time.Time
 	steps     []*step
-	openSteps int // steps that are not done
+	openSteps int  // steps that are not done
+	begun     bool // a task has had a run
 }
 
 // step is the state of one step of an occurrence.
@@ -181,6 +182,7 @@
 		return
 	}
 	t.done = true
+	t.step.occ.begun = true
 	t.step.openTasks--
 	if t.step.openTasks == 0 {
 		t.step.occ.openSteps--
--- a/engine/overload_test.go
+++ b/engine/overload_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/carobwharf/carobwharf/placement"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -223,3 +225,20 @@
 		})
 	}
 }
+
+// playSmall plays an overload of 10 workers with several seeds.
+func playSmall(c overload, seeds int) (sum outcome) {
+	c.workers = 10
+	for seed := range seeds {
+		sum.add(c.play(uint64(seed)), float64(seeds))
+	}
+	return sum
+}
+
+// Guards against an order of placement by which large jobs are late more than
+// twice as often as all jobs in a short peak.
+func TestLargeJobsAreInTimeInPeak(t *testing.T) {
+	o := playSmall(overloads["quick"], 6).inTime
+	require.GreaterOrEqual(t, o.largest, o.all/2, "largest tenth in time")
+	require.GreaterOrEqual(t, o.next, o.all/2, "next fifth in time")
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -158,9 +158,7 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), cmp.Compare(a.remainingWork, b.remainingWork), a.latestStart.Compare(b.latestStart), cmp.Compare(a.arrivalOrder, b.arrivalOrder))
-	})
+	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
