engine: let chance decide between waiting jobs, weighted by work

In a long flood the largest jobs of a class were hardly ever served: jobs that wait were placed by least remaining work, and smaller ones never ceased to come.

The precedence of an occurrence is now its remaining work times an exponentially distributed draw, so that one job comes before another with a probability inversely proportional to its work. The draw follows from id, acceptance and occurrence; a new owner keeps it.

--- a/engine/job.go
+++ b/engine/job.go
@@ -30,8 +30,9 @@
 	number    int
 	due       time.Time
 	steps     []*step
-	openSteps int  // steps that are not done
-	begun     bool // a task has had a run
+	openSteps int     // steps that are not done
+	begun     bool    // a task has had a run
+	draw      float64 // exponentially distributed, of mean 1; see precedence
 }
 
 // step is the state of one step of an occurrence.
@@ -125,7 +126,7 @@
 
 // openNext creates the occurrence with number j.nextOccurrence.
 func (j *job) openNext(now time.Time) *occurrence {
-	o := &occurrence{job: j, number: j.nextOccurrence, due: now, openSteps: len(j.submission.Steps)}
+	o := &occurrence{job: j, number: j.nextOccurrence, due: now, openSteps: len(j.submission.Steps), draw: exponentialDraw(j.submission, j.nextOccurrence)}
 	if j.submission.Repeat.Count == 0 {
 		o.due = j.arrived
 	}
--- a/engine/order.go
+++ b/engine/order.go
@@ -1,6 +1,14 @@
 package engine
 
-import "cmp"
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"math"
+
+	"github.com/carobwharf/carobwharf/workload"
+)
 
 // compareCandidates orders candidates for placement. Within one urgency and
 // priority, occurrences that have begun come first: the work that they have
@@ -10,7 +18,7 @@
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.priority, b.priority),
 		compareBegun(a, b),
-		cmp.Compare(a.remainingWork, b.remainingWork),
+		cmp.Compare(a.precedence, b.precedence),
 		a.latestStart.Compare(b.latestStart),
 		cmp.Compare(a.arrivalOrder, b.arrivalOrder),
 	)
@@ -26,3 +34,23 @@
 		return 1
 	}
 }
+
+// precedence decides which occurrences of equal urgency are served when the
+// pool has too little for all: the probability that one comes before another is
+// inversely proportional to its remaining work. With the least work first, large
+// jobs would never be served in an overload; with the earliest deadline first,
+// most jobs would be started too late. The draw is fixed for each occurrence, so
+// that its tasks are served together.
+func (o *occurrence) precedence() float64 {
+	return o.draw * o.remainingWork()
+}
+
+// exponentialDraw returns an exponentially distributed number of mean 1 that is
+// the same for all owners of an occurrence. It depends on the time of acceptance
+// so that callers can't obtain a small one by their choice of the ID.
+func exponentialDraw(s workload.Submission, occurrence int) float64 {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s %d %d", s.ID, s.Accepted, occurrence))
+	const mantissaBits = 53
+	uniform := (float64(binary.BigEndian.Uint64(sum[:])>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return -math.Log(uniform)
+}
--- a/engine/overload_test.go
+++ b/engine/overload_test.go
@@ -242,3 +242,11 @@
 	require.GreaterOrEqual(t, o.largest, o.all/2, "largest tenth in time")
 	require.GreaterOrEqual(t, o.next, o.all/2, "next fifth in time")
 }
+
+// Guards against an order of placement by which large jobs are not served in a
+// long flood.
+func TestLargeJobsAreServedInFlood(t *testing.T) {
+	o := playSmall(overloads["flood"], 2).served
+	require.GreaterOrEqual(t, o.largest, o.all/2, "largest tenth served")
+	require.GreaterOrEqual(t, o.next, o.all/2, "next fifth served")
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -34,12 +34,12 @@
 // candidate is a step with tasks to place, and what its place in the order
 // depends on.
 type candidate struct {
-	step          *step
-	urgency       urgency
-	priority      int
-	latestStart   time.Time // latest start that meets the objective
-	remainingWork float64   // estimated core-seconds that the occurrence has left
-	arrivalOrder  int       // position among candidates in the order of arrival
+	step         *step
+	urgency      urgency
+	priority     int
+	latestStart  time.Time // latest start that meets the objective
+	precedence   float64   // see precedence; the smallest comes first
+	arrivalOrder int       // position among candidates in the order of arrival
 }
 
 // place starts waiting tasks on workers with free capacity.
@@ -183,7 +183,7 @@
 	c := candidate{step: s, priority: j.queue.Priority}
 	objective := s.occ.objective()
 	c.latestStart = objective.Add(-s.criticalPath)
-	c.remainingWork = s.occ.remainingWork()
+	c.precedence = s.occ.precedence()
 	switch {
 	case s.spec.LongRunning && s.spec.BestEffort:
 		c.urgency = bestEffort
