engine: place overdue jobs in the order of their arrival

A job that could no longer end within three times its objective was placed by the same criteria as the others, so that jobs that became overdue after it went ahead of it as long as there were any: its wait had no bound.

TestOverdueJobsAreServedInOrderOfArrival failed before: a small job that arrived a second later was started ahead.

--- a/engine/place.go
+++ b/engine/place.go
@@ -195,6 +195,9 @@
 		c.urgency = late
 	default:
 		c.urgency = overdue
+		// No order makes these jobs useful to their callers, but none of them may
+		// wait without end.
+		c.precedence = -now.Sub(s.occ.due).Seconds()
 	}
 	return c
 }
