--- a/engine/backlog_test.go
+++ b/engine/backlog_test.go
@@ -10,6 +10,15 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
+// endFirstTask ends the run of the job's first task at its worker.
+func (r *harness) endFirstTask(job string) {
+	for _, s := range r.starts {
+		if s.Task == (workload.TaskID{Job: job}) {
+			r.workers[s.Incarnation.ID].endRun(s.Task, s.Attempt, EndDone)
+		}
+	}
+}
+
 // Guards against an owner with more changed jobs than a transaction holds that
 // acknowledges no end at all, so that the workers repeat ever longer lists.
 func TestEndsAreAcknowledgedWhileABacklogIsStored(t *testing.T) {
@@ -19,10 +28,8 @@
 		jobs = append(jobs, testJob(fmt.Sprintf("j%d", i), simpleStep(2)))
 	}
 	r.step(jobs...)
-	for _, s := range r.starts {
-		if s.Task.Index == 0 {
-			r.workers[s.Incarnation.ID].endRun(s.Task, s.Attempt, EndDone)
-		}
+	for i := range 6 {
+		r.endFirstTask(fmt.Sprintf("j%d", i))
 	}
 	r.now = r.now.Add(time.Second)
 	var answers []Event
@@ -48,9 +55,8 @@
 	r := newHarness(t, 1, nil, newWorker("a"))
 	r.step(testJob("j0", simpleStep(2)), testJob("j1", simpleStep(2)))
 	w := r.workers["a"]
-	for _, i := range []int{2, 0} { // the younger job's task ends first
-		w.endRun(r.starts[i].Task, r.starts[i].Attempt, EndDone)
-	}
+	r.endFirstTask("j1")
+	r.endFirstTask("j0")
 	r.now = r.now.Add(time.Second)
 	r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: w.Incarnation}}))
 	b := r.m.Collect(1, false)
@@ -67,11 +73,8 @@
 	r := newHarness(t, 1, nil, newWorker("a"))
 	r.step(testJob("j0", simpleStep(2)), testJob("j1", simpleStep(1)))
 	w := r.workers["a"]
-	for _, s := range r.starts {
-		if s.Task.Index == 0 {
-			w.endRun(s.Task, s.Attempt, EndDone)
-		}
-	}
+	r.endFirstTask("j0")
+	r.endFirstTask("j1")
 	r.now = r.now.Add(time.Second)
 	r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: w.Incarnation}}))
 	b := r.m.Collect(1, false)
--- a/engine/job.go
+++ b/engine/job.go
@@ -34,6 +34,8 @@
 	steps     []*step
 	openSteps int           // steps that are not done
 	chain     time.Duration // longest chain of estimates of its steps
+	begun     bool          // a task has had a run
+	draw      float64       // exponentially distributed, of mean 1; see precedence
 }
 
 // step is the state of one step of an occurrence.
@@ -186,7 +188,7 @@
 
 // open creates an occurrence.
 func (j *job) open(number int, due time.Time) {
-	o := &occurrence{job: j, number: number, due: due, openSteps: len(j.submission.Steps)}
+	o := &occurrence{job: j, number: number, due: due, openSteps: len(j.submission.Steps), draw: exponentialDraw(j.submission, number)}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
 		s := &step{occ: o, index: i, spec: spec, openTasks: spec.Count, idleTasks: spec.Count, runsPerWorker: map[string]int{}, tickets: map[string]ticket{}}
@@ -247,6 +249,7 @@
 		t.step.idleTasks--
 	}
 	t.done = true
+	t.step.occ.begun = true
 	t.step.openTasks--
 	if t.step.openTasks == 0 {
 		t.step.occ.openSteps--
--- a/engine/place.go
+++ b/engine/place.go
@@ -34,12 +34,12 @@
 // candidate is a step with tasks to place, and what its place in the order
 // depends on.
 type candidate struct {
-	step          *step
-	urgency       urgency
-	priority      int
-	latestStart   time.Time // latest start that meets the objective
-	remainingWork float64   // estimated core-seconds that the occurrence has left
-	arrivalOrder  int       // position among candidates in the order of arrival
+	step         *step
+	urgency      urgency
+	priority     int
+	latestStart  time.Time // latest start that meets the objective
+	precedence   float64   // see precedence; the smallest comes first
+	arrivalOrder int       // position among candidates in the order of arrival
 }
 
 // place starts waiting tasks on workers with free capacity.
@@ -168,9 +168,7 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), cmp.Compare(a.remainingWork, b.remainingWork), a.latestStart.Compare(b.latestStart), cmp.Compare(a.arrivalOrder, b.arrivalOrder))
-	})
+	slices.SortFunc(list, compareCandidates)
 	m.candidateBuffer = list
 	return list
 }
@@ -199,7 +197,7 @@
 	c := candidate{step: s, priority: j.queue.Priority}
 	objective := s.occ.objective()
 	c.latestStart = objective.Add(-s.criticalPath)
-	c.remainingWork = s.occ.remainingWork()
+	c.precedence = s.occ.precedence()
 	switch {
 	case s.spec.LongRunning && s.spec.BestEffort:
 		c.urgency = bestEffort
@@ -211,6 +209,9 @@
 		c.urgency = late
 	default:
 		c.urgency = overdue
+		// No order makes these jobs useful to their callers, but none of them may
+		// wait without end.
+		c.precedence = -now.Sub(s.occ.due).Seconds()
 	}
 	return c
 }
--- a/engine/run.go
+++ b/engine/run.go
@@ -149,6 +149,7 @@
 		r.task.step.idleTasks--
 	}
 	r.task.runs = append(r.task.runs, r)
+	r.task.step.occ.begun = true
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.used = r.worker.used.Plus(r.task.step.demand())
 	if r.task.step.spec.BestEffort {
