engine: store few counted failures of long-running tasks

A long-running task may fail without limit, and up to 32 counted attempts of each were stored. For 600 such tasks the progress took 142,017 bytes, more than a row holds, and the store would refuse every write of the pool's owner. Three attempts are stored now, 55,017 bytes in the same case. The other attempts only keep an end that is reported again after a change of owner from counting twice towards the quarantine of its worker; long-running tasks have no limit of attempts. Finite tasks keep all, since their limit depends on them.

Before: TestProgressOfLargestJobFitsARow failed in its new case with 142,017 bytes. It passes with -race.

--- a/engine/job.go
+++ b/engine/job.go
@@ -187,6 +187,21 @@
 // not reported again.
 const maxCountedFailures = 32
 
+// maxStoredFailures bounds the attempts that are stored of a long-running task, which
+// may fail without limit, so that the progress of a large job fits a row. After a
+// change of owner, an end that is reported again counts towards the quarantine of its
+// worker once more, and nothing else depends on it.
+const maxStoredFailures = 3
+
+// storedFailures returns the counted failures that are stored with the task.
+func (t *task) storedFailures() []int {
+	list := t.countedFailures
+	if t.step.spec.LongRunning {
+		list = list[max(0, len(list)-maxStoredFailures):]
+	}
+	return slices.Clone(list)
+}
+
 // recordFailure remembers that the failure of an attempt has been counted.
 func (t *task) recordFailure(attempt int) {
 	if len(t.countedFailures) == maxCountedFailures {
@@ -257,7 +272,7 @@
 				if t.done || t.failures > 0 || t.checkpoint != "" || t.lastAttempt > 1 {
 					p.Tasks = append(p.Tasks, workload.TaskProgress{
 						Occurrence: o.number, Step: s.index, Index: t.id.Index,
-						Done: t.done, Failures: t.failures, CountedFailures: slices.Clone(t.countedFailures), LastAttempt: t.lastAttempt, Checkpoint: t.checkpoint,
+						Done: t.done, Failures: t.failures, CountedFailures: t.storedFailures(), LastAttempt: t.lastAttempt, Checkpoint: t.checkpoint,
 					})
 				}
 			}
--- a/engine/limits_test.go
+++ b/engine/limits_test.go
@@ -58,6 +58,12 @@
 	for name, prepare := range map[string]func(*task){
 		"done":    func(t *task) { t.done = true },
 		"failing": func(t *task) {},
+		"long-running": func(t *task) {
+			t.step.spec.LongRunning = true
+			for n := range 100 {
+				t.recordFailure(1010 + n)
+			}
+		},
 	} {
 		e := testJob("5c0e7a21d94b36f8", simpleStep(workload.MaxTasks/2), simpleStep(workload.MaxTasks/2))
 		e.Submission.Repeat = workload.Schedule{Count: workload.MaxOccurrences}
