--- a/engine/event.go
+++ b/engine/event.go
@@ -102,6 +102,9 @@
 	Born    int64 // Unix ms at which the worker started, 0 if not reported
 	Running []RunReport
 	Ended   []EndReport
+	// MoreEnds is set if the worker may have further ends that this report does not
+	// list, so that a run that is in neither list may have ended.
+	MoreEnds bool
 }
 
 // HoldAnswered is the outcome of a Hold.
@@ -182,7 +185,7 @@
 type Hold struct {
 	Target
 	Token      uint64
-	StoredEnds int           // acknowledges the ends up to this number
+	StoredEnds int           // acknowledges the ends up to this number; 0: none that are not acknowledged yet
 	Deadline   int64         // end of the lease in ms on the worker's clock; 0: not extended
 	Wait       time.Duration // how long the worker may delay its answer until a run ends
 }
--- a/engine/job.go
+++ b/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	steps     []*step
 	openSteps int           // steps that are not done
 	chain     time.Duration // longest chain of estimates of its steps
+	begun     bool          // a task has had a run
+	draw      float64       // exponentially distributed, of mean 1; see precedence
 }
 
 // step is the state of one step of an occurrence.
@@ -68,6 +71,7 @@
 	runs            []*run
 	notBefore       time.Time // earliest time of the next start
 	avoidWorker     string    // ID of the worker of the last failed or stalled run
+	lostAfterLease  bool      // its last run was given up without a report of the worker, after the owner's lease had ended
 	runAdopted      bool      // this owner has adopted a run of it, so no unknown run can exist at another worker
 }
 
@@ -111,6 +115,15 @@
 	if p := e.Progress; p != nil {
 		j.state, j.nextOccurrence, j.firstOpen, j.endedAt = p.State, p.NextOccurrence, p.NextOccurrence, p.Ended
 		j.storedProgress = p.Tasks
+		for _, number := range p.LaterEnded {
+			j.finishedOccurrences[number] = true
+		}
+		for _, t := range p.Tasks {
+			// The former owner's clock may be ahead of this one's.
+			if j.submission.Repeat.Count > 0 && j.mayOpenEarly(t.Occurrence) {
+				j.openEarly(now, wallMs, t.Occurrence)
+			}
+		}
 	}
 	return j
 }
@@ -126,13 +139,56 @@
 	return j.submission.Repeat.Start + int64(number)*j.submission.Repeat.Period
 }
 
+// maxOpenSpan is the maximum number of occurrences from the first open one to the
+// last. It bounds what is recorded of those in between that have ended.
+const maxOpenSpan = 1000
+
+// mayOpenNext reports whether a further occurrence may be open. One always may; more
+// of them must not have so many tasks that their progress exceeds a row of the store.
+func (j *job) mayOpenNext() bool {
+	tasks := 0
+	for i := range j.submission.Steps {
+		tasks += j.submission.Steps[i].Count
+	}
+	open := len(j.openOccurrences)
+	return open == 0 || (open+1)*tasks <= workload.MaxTasks && j.nextOccurrence-j.firstOpen < maxOpenSpan
+}
+
 // openNext creates the occurrence with number j.nextOccurrence.
-func (j *job) openNext(now time.Time) *occurrence {
-	o := &occurrence{job: j, number: j.nextOccurrence, due: now, openSteps: len(j.submission.Steps)}
+func (j *job) openNext(now time.Time) {
+	due := now
 	if j.submission.Repeat.Count == 0 {
-		o.due = j.arrived
+		due = j.arrived
 	}
+	j.open(j.nextOccurrence, due)
 	j.nextOccurrence++
+}
+
+// openEarly creates an occurrence that is not due by this process's clock, but
+// that a former owner has started.
+func (j *job) openEarly(now time.Time, wallMs int64, number int) {
+	j.open(number, now.Add(time.Duration(j.dueAt(number)-wallMs)*time.Millisecond))
+}
+
+// mayOpenEarly reports whether the occurrence exists, has not ended and is not
+// open yet.
+func (j *job) mayOpenEarly(number int) bool {
+	return !j.state.Ended() && number >= j.nextOccurrence && number < j.occurrenceCount() && !j.finishedOccurrences[number] && j.openOccurrence(number) == nil
+}
+
+// openOccurrence returns the open occurrence with the given number, or nil.
+func (j *job) openOccurrence(number int) *occurrence {
+	for _, o := range j.openOccurrences {
+		if o.number == number {
+			return o
+		}
+	}
+	return nil
+}
+
+// open creates an occurrence.
+func (j *job) open(number int, due time.Time) {
+	o := &occurrence{job: j, number: number, due: due, openSteps: len(j.submission.Steps), draw: exponentialDraw(j.submission, number)}
 	for i := range j.submission.Steps {
 		spec := &j.submission.Steps[i]
 		s := &step{occ: o, index: i, spec: spec, openTasks: spec.Count, idleTasks: spec.Count, runsPerWorker: map[string]int{}, tickets: map[string]ticket{}}
@@ -153,7 +209,6 @@
 	}
 	j.openOccurrences = append(j.openOccurrences, o)
 	j.restoreProgress(o)
-	return o
 }
 
 // restoreProgress restores the stored progress of an occurrence's tasks.
@@ -175,6 +230,21 @@
 // not reported again.
 const maxCountedFailures = 32
 
+// maxStoredFailures bounds the attempts that are stored of a long-running task, which
+// may fail without limit, so that the progress of a large job fits a row. After a
+// change of owner, an end that is reported again counts towards the quarantine of its
+// worker once more, and nothing else depends on it.
+const maxStoredFailures = 3
+
+// storedFailures returns the counted failures that are stored with the task.
+func (t *task) storedFailures() []int {
+	list := t.countedFailures
+	if t.step.spec.LongRunning {
+		list = list[max(0, len(list)-maxStoredFailures):]
+	}
+	return slices.Clone(list)
+}
+
 // recordFailure remembers that the failure of an attempt has been counted.
 func (t *task) recordFailure(attempt int) {
 	if len(t.countedFailures) == maxCountedFailures {
@@ -194,6 +264,7 @@
 		t.step.idleTasks--
 	}
 	t.done = true
+	t.step.occ.begun = true
 	t.step.openTasks--
 	if t.step.openTasks == 0 {
 		t.step.occ.openSteps--
@@ -212,7 +283,10 @@
 
 // canStart reports whether the task has no run and may be started now.
 func (m *Scheduler) canStart(now time.Time, t *task) bool {
-	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.step.occ.job.dueAt(t.id.Occurrence) > m.wallMs {
+		return false
+	}
+	if t.lostAfterLease && m.leaseEnded {
 		return false
 	}
 	return t.runAdopted || !t.step.occ.job.recovered || m.takeoverComplete()
@@ -246,13 +320,14 @@
 	if j.state.Ended() {
 		return p
 	}
+	p.LaterEnded = slices.Sorted(maps.Keys(j.finishedOccurrences))
 	for _, o := range j.openOccurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				if t.done || t.failures > 0 || t.checkpoint != "" || t.lastAttempt > 1 {
 					p.Tasks = append(p.Tasks, workload.TaskProgress{
 						Occurrence: o.number, Step: s.index, Index: t.id.Index,
-						Done: t.done, Failures: t.failures, CountedFailures: slices.Clone(t.countedFailures), LastAttempt: t.lastAttempt, Checkpoint: t.checkpoint,
+						Done: t.done, Failures: t.failures, CountedFailures: t.storedFailures(), LastAttempt: t.lastAttempt, Checkpoint: t.checkpoint,
 					})
 				}
 			}
--- a/engine/run.go
+++ b/engine/run.go
@@ -16,7 +16,8 @@
 			continue
 		}
 		w.lastEndProcessed = e.Number
-		if t := m.task(e.Task); t != nil {
+		if t := m.reportedTask(now, e.Task); t != nil {
+			w.unstoredEnds = append(w.unstoredEnds, unstoredEnd{number: e.Number, job: t.step.occ.job})
 			m.handleEnd(now, w, t, e)
 		}
 	}
@@ -101,7 +102,7 @@
 func (m *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldAnswered) {
 	reported := make(map[*run]bool, len(w.runs))
 	for _, report := range e.Report.Running {
-		t := m.task(report.Task)
+		t := m.reportedTask(now, report.Task)
 		if t == nil {
 			m.stopUnwanted(w, report)
 			continue
@@ -113,6 +114,9 @@
 		reported[r] = true
 		m.updateRun(now, r, report)
 	}
+	if e.Report.MoreEnds {
+		return
+	}
 	for _, r := range slices.Clone(w.runs) {
 		if !reported[r] {
 			m.reconcileMissing(now, w, r, e)
@@ -145,6 +149,7 @@
 		r.task.step.idleTasks--
 	}
 	r.task.runs = append(r.task.runs, r)
+	r.task.step.occ.begun = true
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.used = r.worker.used.Plus(r.task.step.demand())
 	if r.task.step.spec.BestEffort {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -55,6 +55,7 @@
 	nextSupervision time.Time            // earliest time of the next check of all runs
 	noMovesBefore   time.Time            // until then no long-running task is moved off a machine to be released
 	paused          bool                 // no task is started
+	leaseEnded      bool                 // the owner's lease is not valid, so there may be a successor
 	superseded      bool                 // a worker has seen the token of a later owner
 	nextWake        time.Time            // time that Wake returns
 	actions         []Action             // actions of the current call of Step
@@ -115,7 +116,9 @@
 	}
 	m.expireLeases(now)
 	m.openDueOccurrences(now)
-	m.closeFinished(now)
+	if m.closeFinished(now) {
+		m.openDueOccurrences(now) // there may be room for the next ones
+	}
 	m.superviseRuns(now)
 	m.evacuate(now)
 	m.place(now)
@@ -131,6 +134,14 @@
 	m.paused = paused
 }
 
+// SetLeaseValid tells whether the owner's lease is valid. After its end, a
+// successor may extend the leases of workers that do not answer this owner. The
+// tasks of such a worker are then not started elsewhere.
+func (m *Scheduler) SetLeaseValid(valid bool) {
+	m.needsPlacement = m.needsPlacement || m.leaseEnded && valid
+	m.leaseEnded = !valid
+}
+
 // Wake returns when Step must be called next even if no event arrives, or the
 // zero time if that is not needed.
 func (m *Scheduler) Wake() time.Time { return m.nextWake }
@@ -245,32 +256,37 @@
 	m.needsPlacement = true
 }
 
-// openDueOccurrences creates the occurrences that are due.
+// openDueOccurrences creates the occurrences that are due, as far as their job may
+// have more open ones.
 func (m *Scheduler) openDueOccurrences(now time.Time) {
 	m.unopened = slices.DeleteFunc(m.unopened, func(j *job) bool {
 		if j.state.Ended() {
 			return true
 		}
-		for j.nextOccurrence < j.occurrenceCount() {
+		for j.nextOccurrence = max(j.nextOccurrence, j.firstOpen); j.nextOccurrence < j.occurrenceCount(); {
 			due := j.dueAt(j.nextOccurrence)
 			if due > m.wallMs {
 				m.wakeAt(now.Add(time.Duration(due-m.wallMs) * time.Millisecond))
 				return false
 			}
-			if j.finishedOccurrences[j.nextOccurrence] {
+			m.needsPlacement = true
+			if j.finishedOccurrences[j.nextOccurrence] || j.openOccurrence(j.nextOccurrence) != nil {
 				j.nextOccurrence++
 				continue
 			}
+			if !j.mayOpenNext() {
+				return false
+			}
 			j.openNext(now)
 			m.toClose = append(m.toClose, j) // its stored progress may show that all tasks are done
-			m.needsPlacement = true
 		}
 		return true
 	})
 }
 
-// closeFinished closes occurrences, and then jobs, of which all tasks are done.
-func (m *Scheduler) closeFinished(now time.Time) {
+// closeFinished closes occurrences, and then jobs, of which all tasks are done. It
+// reports whether an occurrence was closed.
+func (m *Scheduler) closeFinished(now time.Time) (closed bool) {
 	for _, j := range m.toClose {
 		if j.state.Ended() {
 			continue
@@ -286,7 +302,7 @@
 				delete(j.finishedOccurrences, j.firstOpen)
 				j.firstOpen++
 			}
-			j.dirty = true
+			j.dirty, closed = true, true
 		}
 		if j.firstOpen == j.occurrenceCount() {
 			m.endJob(j, workload.Completed, "all tasks are done")
@@ -294,6 +310,7 @@
 	}
 	clear(m.toClose)
 	m.toClose = m.toClose[:0]
+	return closed
 }
 
 // dropEndedJobs removes jobs that have ended, whose final state is stored and
@@ -335,14 +352,22 @@
 	if !ok {
 		return nil
 	}
-	for _, o := range j.openOccurrences {
-		if o.number == id.Occurrence && id.Step < len(o.steps) && id.Index < len(o.steps[id.Step].tasks) {
-			return o.steps[id.Step].tasks[id.Index]
-		}
+	if o := j.openOccurrence(id.Occurrence); o != nil && id.Step < len(o.steps) && id.Index < len(o.steps[id.Step].tasks) {
+		return o.steps[id.Step].tasks[id.Index]
 	}
 	return nil
 }
 
+// reportedTask returns the task with the given ID, which a worker reports, or nil
+// if its occurrence has ended. An occurrence that is not due by this process's
+// clock is opened, because a former owner has started it.
+func (m *Scheduler) reportedTask(now time.Time, id workload.TaskID) *task {
+	if j, ok := m.jobs[id.Job]; ok && j.mayOpenEarly(id.Occurrence) {
+		j.openEarly(now, m.wallMs, id.Occurrence)
+	}
+	return m.task(id)
+}
+
 // takeoverComplete reports whether no worker of the former owner can still run
 // something that this owner does not know of.
 func (m *Scheduler) takeoverComplete() bool { return len(m.formerWorkers) == 0 }
@@ -352,6 +377,9 @@
 // leases have expired.
 func (m *Scheduler) expireLeases(now time.Time) {
 	for id, at := range m.formerWorkers {
+		if m.leaseEnded {
+			break // a successor may have extended them
+		}
 		if now.Before(at) {
 			m.wakeAt(at)
 			continue
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -247,6 +247,7 @@
 	Engaged   []EngagedWorker              // all workers that have or may get runs, for the load row
 	lastEnds  map[workload.Incarnation]int // number of the last end of each worker that the batch covers
 	inLoadRow map[string]int64             // start times of the workers in the load row, by ID
+	tasks     int                          // in Jobs
 	jobs      []*job
 }
 
@@ -296,33 +297,62 @@
 	return false
 }
 
+// maxBatchTasks is the number of tasks after which a batch takes no further job. The
+// store accepts 1 MB in one call, and a task takes about 90 bytes, which base64 makes
+// 120.
+const maxBatchTasks = 5000
+
 // Collect returns the state to store, with at most limit jobs, and with the
 // content of the load row if withLoad is set. A Stored event must report the
 // outcome of the batch before Collect is called again.
 func (m *Scheduler) Collect(limit int, withLoad bool) *Batch {
 	b := &Batch{Jobs: map[string]workload.Progress{}, lastEnds: make(map[workload.Incarnation]int, len(m.sortedWorkers))}
-	complete := true
+	m.collectJobs(b, limit, true)
+	m.collectJobs(b, limit, false)
+	for _, w := range m.sortedWorkers {
+		if n := w.lastCollectedEnd(); n > w.lastEndStored {
+			b.lastEnds[w.Incarnation] = n
+		}
+	}
+	if withLoad {
+		m.collectWorkers(b)
+	}
+	return b
+}
+
+// collectJobs adds jobs with changes to the batch, until it is full: with ended
+// those that have ended, for which callers are waiting, otherwise the others.
+func (m *Scheduler) collectJobs(b *Batch, limit int, ended bool) {
 	for _, j := range m.arrivalOrder {
-		if !j.dirty {
-			continue
+		if len(b.jobs) == limit || b.tasks >= maxBatchTasks {
+			return
 		}
-		if len(b.jobs) == limit {
-			complete = false
-			break
+		if !j.dirty || j.state.Ended() != ended {
+			continue
 		}
-		b.Jobs[j.submission.ID] = j.progress()
+		progress := j.progress()
+		b.tasks += len(progress.Tasks)
+		b.Jobs[j.submission.ID] = progress
 		b.jobs = append(b.jobs, j)
 		j.dirty, j.storing = false, true
 	}
-	for _, w := range m.sortedWorkers {
-		if complete {
-			b.lastEnds[w.Incarnation] = w.lastEndProcessed
+}
+
+// lastCollectedEnd returns the number up to which the changes that the worker's
+// ends made are in the store or in the batch that is being collected.
+func (w *worker) lastCollectedEnd() int {
+	for _, e := range w.unstoredEnds {
+		if e.job.dirty {
+			return e.number - 1
 		}
 	}
-	if withLoad {
-		m.collectWorkers(b)
-	}
-	return b
+	return w.lastEndProcessed
+}
+
+// markEndsStored records that the worker's ends up to n are in the store.
+func (w *worker) markEndsStored(n int) {
+	w.lastEndStored = max(w.lastEndStored, n)
+	w.unstoredEnds = slices.DeleteFunc(w.unstoredEnds, func(e unstoredEnd) bool { return e.number <= w.lastEndStored })
 }
 
 // collectWorkers adds the workers that may have runs of this owner or of the
@@ -356,7 +386,7 @@
 	m.needsPlacement = m.needsPlacement || len(m.endedJobs) > 0 // a pass drops ended jobs
 	for incarnation, n := range e.Batch.lastEnds {
 		if w := m.findWorker(incarnation); w != nil {
-			w.lastEndStored = max(w.lastEndStored, n)
+			w.markEndsStored(n)
 		}
 	}
 	for id, born := range e.Batch.inLoadRow {
@@ -374,8 +404,8 @@
 	Spread         int             `json:"spread,omitempty"` // number of machines that the long-running step with the widest spread needs
 	Machines       []MachineStatus `json:"machines,omitempty"`
 	ReleaseVersion uint64          `json:"release,omitempty"` // version of the fleet's row that Released refers to
-	// LargestMachine is the greatest capacity of any machine, in thousandths of a
-	// core.
+	// LargestMachine is the greatest capacity of any machine whose worker has answered
+	// this owner, in thousandths of a core.
 	LargestMachine int `json:"per,omitempty"`
 }
 
@@ -420,7 +450,9 @@
 		if !w.registered || w.gone {
 			continue
 		}
-		s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		if w.synced { // a registration of another writer has no worker that answers
+			s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
+		}
 		for _, r := range w.runs {
 			if r.task.step.spec.LongRunning {
 				s.LongRunning += r.task.step.demand().MilliCores
--- /dev/null
+++ b/engine/takeover_test.go
@@ -0,0 +1,257 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+// scheduledJob returns a job of one task whose occurrences are due at start and
+// then each period.
+func scheduledJob(id string, count int, start time.Time, period time.Duration) JobAdded {
+	job := testJob(id, simpleStep(1))
+	job.Submission.Repeat = workload.Schedule{Count: count, Start: start.UnixMilli(), Period: period.Milliseconds()}
+	return job
+}
+
+// takeOver returns a harness whose scheduler succeeds that of r. The workers and
+// the time stay as they are.
+func (r *harness) takeOver(token uint64, former []EngagedWorker, events ...Event) *harness {
+	next := &harness{t: r.t, now: r.now, workers: r.workers}
+	next.m = New(r.now, testConfig(token), former)
+	next.step(append(events, r.registrations())...)
+	return next
+}
+
+// An occurrence that ended before an earlier one was not stored, and the next owner
+// ran it again.
+func TestOccurrenceThatEndedBeforeAnEarlierOneIsNotRepeated(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	job := scheduledJob("j1", 2, r.now, 100*time.Millisecond)
+	r.step(job)
+	r.advance(300 * time.Millisecond)
+	require.Len(t, r.starts, 2)
+	r.workers["a"].endRun(workload.TaskID{Job: "j1", Occurrence: 1}, 1, EndDone)
+	r.step()
+	r.advance(time.Second)
+	require.Empty(t, r.workers["a"].ended, "the end is acknowledged")
+	progress := r.m.jobs["j1"].progress()
+
+	job.Progress, job.Recovered = &progress, true
+	next := r.takeOver(2, []EngagedWorker{{ID: "a", Born: 1}}, job)
+	next.advance(time.Second)
+	require.Empty(t, next.starts)
+	next.workers["a"].endRun(workload.TaskID{Job: "j1"}, 1, EndDone)
+	next.advance(time.Second)
+	require.Equal(t, workload.Completed, next.m.ended["j1"])
+}
+
+// An owner whose clock was behind the former owner's stopped the runs of an
+// occurrence that was not due by its clock, acknowledged its ends, and ran it again
+// later.
+func TestOccurrenceThatTheFormerOwnerStartedEarlierIsAdopted(t *testing.T) {
+	a := newWorker("a")
+	first, second := workload.TaskID{Job: "j1"}, workload.TaskID{Job: "j1", Index: 1}
+	a.running = []RunReport{{Task: first, Attempt: 1}}
+	a.lastEnd, a.ended = 1, []EndReport{{Number: 1, Task: second, Attempt: 1, Reason: EndDone}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	job := scheduledJob("j1", 1, r.now.Add(2*time.Second), time.Second)
+	job.Submission.Steps[0].Count, job.Recovered = 3, true
+	r.step(job, r.registrations())
+	r.advance(time.Second)
+	require.Empty(t, r.stops)
+	require.Empty(t, r.starts, "the third task is not due")
+	require.Len(t, a.running, 1)
+	r.advance(1500 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	require.Equal(t, 2, r.starts[0].Task.Index)
+}
+
+// An owner whose clock was behind stored its progress without the tasks of an
+// occurrence that was not due by its clock, and its successor ran them again.
+func TestProgressOfOccurrenceThatIsNotDueIsKept(t *testing.T) {
+	r := newHarness(t, 2, nil, newWorker("a"))
+	job := scheduledJob("j1", 2, r.now, 5*time.Second)
+	job.Progress = &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{{Occurrence: 1, Done: true}}}
+	job.Submission.Steps[0].Count, job.Recovered = 2, true
+	r.step(job)
+	require.Contains(t, r.m.jobs["j1"].progress().Tasks, workload.TaskProgress{Occurrence: 1, Done: true})
+}
+
+// A worker lists at most 500 ends at a time. A run whose end was on the next page
+// was taken as vanished, and its task was started again.
+func TestRunWhoseEndIsNotListedYetIsNotRepeated(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(2)))
+	require.Len(t, r.starts, 2)
+	w := r.workers["a"]
+	w.pageSize = 1
+	for _, s := range r.starts {
+		w.endRun(s.Task, s.Attempt, EndDone)
+	}
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
+
+// A new owner started a task whose end was on the next page of a worker's ends.
+func TestNewOwnerWaitsForAllEndsOfAWorker(t *testing.T) {
+	a := newWorker("a")
+	a.pageSize, a.lastEnd = 1, 2
+	for i := range 2 {
+		a.ended = append(a.ended, EndReport{Number: i + 1, Task: workload.TaskID{Job: "j1", Index: i}, Attempt: 1, Reason: EndDone})
+	}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"], r.workers["b"] = a, newWorker("b")
+	r.workers["b"].startedAt = r.now
+	job := testJob("j1", simpleStep(2))
+	job.Recovered = true
+	r.step(job, r.registrations())
+	r.advance(2 * time.Second)
+	require.Empty(t, r.starts)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
+
+// Guards against an owner without a valid lease that starts the tasks of a worker
+// which it can't reach, while its successor extends that worker's lease.
+func TestOwnerWithoutLeaseDoesNotRestartTasksOfSilentWorker(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(1)))
+	r.workers["a"].silent = true
+	r.workers["b"] = newWorker("b")
+	r.workers["b"].startedAt = r.now
+	r.step(r.registrations())
+	r.m.SetLeaseValid(false)
+	r.advance(2 * testLease)
+	require.Len(t, r.starts, 1)
+	r.m.SetLeaseValid(true)
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2, "no successor has taken the lease")
+}
+
+// An idle worker restarted unnoticed and carried out a start. The next hold
+// repeated the acknowledgement of ends of the former incarnation, so that the end
+// of the run was forgotten and the task started again.
+func TestAcknowledgementIsNotRepeatedToRestartedWorker(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	r.advance(time.Second)
+	require.Equal(t, 1, r.m.workers["a"].lastEndStored)
+	require.Empty(t, w.ended)
+
+	w.Born++
+	w.lastEnd, w.startedAt = 0, r.now
+	r.step(testJob("j2", simpleStep(1)))
+	require.Len(t, r.starts, 2)
+	w.endRun(r.starts[1].Task, 1, EndDone)
+	r.advance(3 * time.Second)
+	r.step(r.registrations())
+	r.advance(time.Second)
+	require.Len(t, r.starts, 2)
+	require.Equal(t, workload.Completed, r.m.ended["j2"])
+}
+
+// The same happened if the worker restarted before it received the
+// acknowledgement, which each further hold repeated.
+func TestSilentWorkerGetsNoAcknowledgement(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	holds := len(r.holds)
+	for len(r.holds) == holds {
+		r.advance(20 * time.Millisecond)
+	}
+	w.silent = true
+	r.advance(time.Second)
+	holds = len(r.holds)
+	require.Equal(t, 1, r.m.workers["a"].lastEndStored)
+	r.advance(time.Second)
+	require.Greater(t, len(r.holds), holds)
+	for _, h := range r.holds[holds:] {
+		require.Zero(t, h.StoredEnds)
+	}
+	w.silent = false
+	r.advance(time.Second)
+	require.Empty(t, w.ended)
+}
+
+// A worker answered the first hold of a new owner and then no more. Its lease never
+// ended in the new owner's records, so the task of the adopted run waited for ever.
+func TestAdoptedRunOfSilentWorkerExpires(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, newWorker("b"))
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.m.Step(r.now, 0, job, r.registrations(), r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
+	require.Len(t, r.m.workers["a"].runs, 1)
+	a.silent = true
+	r.m.Step(r.now, 0, HoldAnswered{Worker: a.Incarnation, Sent: r.now, Result: Unknown})
+	r.advance(testLease)
+	require.Empty(t, r.starts, "the former owner's lease may last")
+	r.advance(time.Second)
+	require.Len(t, r.starts, 1)
+	require.Equal(t, "b", r.starts[0].Incarnation.ID)
+}
+
+// A worker that had restarted and might run a start of before was left out of the
+// load row until it answered, so that a successor did not wait for it.
+func TestRestartedWorkerWithPossibleRunsStaysInLoadRow(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
+	w.Born++
+	r.m.Step(r.now, 0, r.registrations())
+	require.Len(t, r.m.workers["a"].runs, 1)
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 2}}, r.m.Collect(1, true).Engaged)
+}
+
+// A draining worker was left out of the load row while the end of its last run was
+// not stored, so that a successor did not wait for it and started the task again.
+func TestWorkerWithUnstoredEndsStaysInLoadRow(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	w := r.workers["a"]
+	r.step(testJob("j1", simpleStep(1)))
+	w.endRun(r.starts[0].Task, 1, EndDone)
+	w.Draining = true
+	r.now = r.now.Add(time.Second)
+	r.m.Step(r.now, 0, r.registrations(), r.answerHold(Hold{Target: Target{Incarnation: w.Incarnation}}))
+	require.Empty(t, r.m.workers["a"].runs)
+	b := r.m.Collect(0, true) // has no room for the job
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1}}, b.Engaged)
+	r.m.Step(r.now, 0, Stored{Batch: b, OK: true})
+	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(1, true), OK: true})
+	require.Empty(t, r.m.Collect(1, true).Engaged)
+}
+
+// An owner that had been suspended past the end of its lease started tasks at once
+// at workers that had restarted meanwhile and had forgotten its successor's token
+// (seed 1592 of the simulation of owners).
+func TestOwnerWithoutLeaseStartsNothingOnOldReports(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step()
+	r.now = r.now.Add(1900 * time.Millisecond)
+	r.m.SetLeaseValid(false)
+	for _, a := range r.m.Step(r.now, 0, testJob("j1", simpleStep(1))) {
+		_, isStart := a.(Start)
+		require.False(t, isStart)
+	}
+	r.step(r.answerHold(Hold{Target: Target{Incarnation: r.workers["a"].Incarnation}}))
+	r.advance(20 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	r.advance(4 * time.Second)
+	r.step(testJob("j2", simpleStep(1)))
+	r.advance(20 * time.Millisecond)
+	require.Len(t, r.starts, 2, "reports are recent during the overrun")
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/placement"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -27,6 +28,14 @@
 	holdGapPerBusyWorker = 600 * time.Microsecond
 	// idleHoldInterval is the time between holds of a worker without runs.
 	idleHoldInterval = 2 * time.Second
+	// overrunHoldWait and overrunHoldInterval replace holdWait and idleHoldInterval
+	// after the end of the owner's lease.
+	overrunHoldWait     = 400 * time.Millisecond
+	overrunHoldInterval = 400 * time.Millisecond
+	// overrunFreshness is the maximum age of a worker's last report with which
+	// tasks are started there after the end of the owner's lease. A successor fences
+	// the workers, but a worker that restarts forgets that.
+	overrunFreshness = time.Second
 	// holdRetryInterval is the time between holds of a worker that does not
 	// answer.
 	holdRetryInterval = 300 * time.Millisecond
@@ -65,7 +74,10 @@
 	leaseEnd         time.Time // when the leases of all runs must have expired, by our clock
 	lastEndProcessed int       // ends up to this number have been processed
 	lastEndStored    int       // ends up to this number are in the store and can be acknowledged
-	holdPending      bool      // a hold has no answer yet
+	unstoredEnds     []unstoredEnd
+	lastEndAcked     int  // ends up to this number were acknowledged by an answered hold
+	ackSent          int  // acknowledgement in the last hold
+	holdPending      bool // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
 	releaseReported  bool      // the load row reports its machine as released
@@ -79,12 +91,18 @@
 	quarantinedUntil time.Time       // end of the quarantine
 }
 
+// unstoredEnd is an end that changed a job and is not known to be in the store.
+type unstoredEnd struct {
+	number int
+	job    *job
+}
+
 // belongsInLoadRow reports whether the load row must name the worker because it
-// has runs or may get some. The load row is the pool's row in the store with the
-// pool's status and these workers. A successor waits for the workers in the row,
+// has runs or may get some, or because ends of its runs are not stored yet. The
+// load row is the pool's row in the store with the pool's status and these workers. A successor waits for the workers in the row,
 // so one that has no work and gets none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return w.synced && (len(w.runs) > 0 || w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine])
+	return len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
@@ -186,8 +204,12 @@
 		if w.holdPending || w.gone || !w.registered && len(w.runs) == 0 {
 			continue
 		}
-		if now.Before(w.nextHold) {
-			m.wakeAt(w.nextHold)
+		due := w.nextHold
+		if m.leaseEnded && w.synced && !w.suspect {
+			due = times.Earlier(due, w.lastHoldSent.Add(overrunHoldInterval))
+		}
+		if now.Before(due) {
+			m.wakeAt(due)
 			continue
 		}
 		m.sendHold(now, w)
@@ -195,7 +217,14 @@
 }
 
 func (m *Scheduler) sendHold(now time.Time, w *worker) {
-	h := Hold{Target: w.target(), Token: m.cfg.Token, StoredEnds: w.lastEndStored}
+	h := Hold{Target: w.target(), Token: m.cfg.Token}
+	// A worker that has restarted under its ID counts its ends from 1 again and would
+	// forget ends that this owner has not seen. So an acknowledgement is not repeated
+	// once it is answered, and not sent to a worker that does not answer.
+	if w.lastEndStored > w.lastEndAcked && !w.suspect {
+		h.StoredEnds = w.lastEndStored
+	}
+	w.ackSent = h.StoredEnds
 	// The lease of a worker that does not answer is not extended, so that its
 	// runs expire and their tasks can start elsewhere.
 	if w.synced && !w.suspect {
@@ -203,6 +232,9 @@
 		w.recordDeadline(now, h.Deadline)
 		if len(w.runs) > 0 && !m.needsPromptAnswer(w) {
 			h.Wait = holdWait
+			if m.leaseEnded {
+				h.Wait = overrunHoldWait
+			}
 		}
 	}
 	w.holdPending = true
@@ -274,10 +306,16 @@
 	if w.suspect {
 		m.logDecision("worker-answers", "", nil, w, 0)
 	}
-	first := !w.synced
-	w.suspect, w.unansweredOrders, w.synced = false, 0, true
+	// Until the worker's ends are known completely, a task that it does not list as
+	// running may have ended there.
+	first := !w.synced && !e.Report.MoreEnds
+	w.suspect, w.unansweredOrders, w.synced = false, 0, w.synced || first
+	w.lastEndAcked = max(w.lastEndAcked, w.ackSent)
 	w.clockMs, w.clockAt, w.lastHoldSent = e.Report.Clock, now, e.Sent
-	if w.deadline > 0 {
+	if w.deadline == 0 {
+		// A former owner may have extended the lease by the longest time.
+		w.recordDeadline(now, w.clockMs+m.cfg.Lease.Milliseconds())
+	} else {
 		left := time.Duration(w.deadline-w.clockMs) * time.Millisecond
 		w.leaseEnd = now.Add(maxLocalLease(max(0, left)))
 	}
@@ -289,7 +327,7 @@
 	switch {
 	case first || m.needsPromptAnswer(w):
 		w.nextHold = now.Add(holdGap)
-	case len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored:
+	case len(w.runs) > 0 || w.lastEndProcessed > w.lastEndAcked:
 		w.nextHold = now.Add(holdGap + time.Duration(m.busyWorkers())*holdGapPerBusyWorker)
 	default:
 		w.nextHold = now.Add(idleHoldInterval)
@@ -323,11 +361,18 @@
 // frees their tasks.
 func (m *Scheduler) removeRuns(now time.Time, w *worker) {
 	for len(w.runs) > 0 {
-		m.removeRun(now, w.runs[0])
+		m.giveUpRun(now, w.runs[0])
 	}
 	m.needsPlacement = true
 }
 
+// giveUpRun removes a run that can't exist any more according to this owner's
+// knowledge, without a report of the worker.
+func (m *Scheduler) giveUpRun(now time.Time, r *run) {
+	r.task.lostAfterLease = m.leaseEnded
+	m.removeRun(now, r)
+}
+
 // mayRunAfterRestart reports whether a run may exist in the worker's next
 // incarnation. Orders name the worker by its ID, which a restart does not
 // change, so a start sent since the last answer of the old incarnation may have
@@ -341,7 +386,7 @@
 func (m *Scheduler) removeRunsBeforeRestart(now time.Time, w *worker) {
 	for _, r := range slices.Clone(w.runs) {
 		if !r.mayRunAfterRestart() {
-			m.removeRun(now, r)
+			m.giveUpRun(now, r)
 		}
 	}
 	m.needsPlacement = true
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -97,6 +97,26 @@
 	require.False(t, b.Valid(start))
 }
 
+// If the answer to a release was lost, the former holder counted as such for up to a
+// second beside the next one, and both started the same new jobs.
+func TestLeaseEndsWithItsRelease(t *testing.T) {
+	tab := newTable()
+	a, b := New("p", "a", 1, hclog.NewNullLogger()), New("p", "b", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, a, tab, start, 0))
+	now := start.Add(time.Second)
+	require.True(t, a.Valid(now))
+	release := a.Renew(now, a.Control, true)
+	tab.loseAnswers = true
+	unknown := Commit(context.Background(), tab, release)
+	tab.loseAnswers = false
+	require.False(t, a.Valid(now))
+	require.False(t, a.ValidWithin(now, time.Second))
+	require.Equal(t, Acquired, claimLease(t, b, tab, now, 0))
+	require.Equal(t, NotStored, a.HandleResult(now, unknown))
+	require.False(t, a.Valid(now))
+	require.Equal(t, Lost, a.HandleResult(now, Commit(context.Background(), tab, a.Renew(now, a.Control, true))))
+}
+
 // A lease must not be claimed before it has been unchanged for its duration. After
 // that it is taken with a higher token, and writes of the former holder fail.
 func TestExpiredLeaseIsTaken(t *testing.T) {
@@ -142,6 +162,22 @@
 	require.Equal(t, "new", string(tab.rows["progress/p/j"].Value))
 }
 
+// A renewal that was executed late, after a write of newer progress, replaced that
+// progress by older, and the next owner ran tasks again whose ends had been
+// acknowledged.
+func TestLateRenewalDoesNotOverwriteNewerProgress(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	late := h.Renew(start, h.Control, false)
+	late.ExtraOps = []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("old")}}
+	require.Equal(t, NotStored, h.HandleResult(start, Result{write: late, err: store.ErrUnknown}))
+	next := h.Append(start, []store.Op{{Kind: store.OpPut, Key: "progress/p/j", Value: []byte("new")}})
+	require.Equal(t, Stored, h.HandleResult(start, Commit(context.Background(), tab, next)))
+	require.Error(t, Commit(context.Background(), tab, late).err)
+	require.Equal(t, "new", string(tab.rows["progress/p/j"].Value))
+}
+
 // Guards against an owner that stops its work in an outage of the store, in which
 // no other process could take over. It may continue for a limited time.
 func TestValidWithinIsBounded(t *testing.T) {
@@ -204,3 +240,39 @@
 	require.False(t, New("p", "weak", 0.2, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseDuration+maxClaimJitter), 0))
 	require.True(t, New("p", "strong", 0.8, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseDuration+maxClaimJitter), 0))
 }
+
+// Guards against an owner that loses its lease because the answer of one renewal
+// is lost.
+func TestLostAnswerOfRenewalLeavesTimeForAnother(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	sent := h.RenewAt(0)
+	w := h.Renew(sent, h.Control, false)
+	failed := sent.Add(w.timeout)
+	require.Equal(t, NotStored, h.HandleResult(failed, Result{write: w, err: store.ErrUnknown}))
+	retry := h.RenewAt(0)
+	require.True(t, h.Valid(retry.Add(100*time.Millisecond)), "the retry at %s is answered before the lease ends", retry.Sub(start))
+	w = h.Renew(retry, h.Control, false)
+	require.Equal(t, leaseDuration, w.Control.Record().Duration, "one missing answer does not make the store slow")
+	require.Equal(t, slowWriteTimeout, w.timeout)
+	require.Equal(t, Stored, h.HandleResult(retry, Commit(context.Background(), tab, w)))
+}
+
+// Guards against an owner that does not count a renewal that took effect without
+// an answer.
+func TestRenewalWithoutAnswerExtendsTheLease(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	sent := start.Add(1300 * time.Millisecond)
+	w := h.Renew(sent, h.Control, false)
+	tab.loseAnswers = true
+	require.Equal(t, NotStored, h.HandleResult(sent.Add(w.timeout), Commit(context.Background(), tab, w)))
+	tab.loseAnswers = false
+	retry := h.RenewAt(0)
+	require.Equal(t, NotStored, h.HandleResult(retry, Commit(context.Background(), tab, h.Renew(retry, h.Control, false))))
+	require.True(t, h.Valid(sent.Add(leaseDuration*3/4)))
+	require.False(t, h.Valid(sent.Add(leaseDuration)), "the lease counts from the write that took effect")
+	require.False(t, h.RenewAt(0).After(retry), "the next renewal does not wait")
+}
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -1,9 +1,11 @@
 package pools
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,6 +83,7 @@
 	store.Feed
 	rows      map[string][]store.Row // by part of the work table
 	readParts []string
+	load      []byte // value of the load row; nil: a valid one
 }
 
 func (f *fakeStore) Parts(context.Context, string) ([]string, error) {
@@ -101,6 +104,9 @@
 	if key != store.KeyLoad("p") {
 		return store.Row{}, store.ErrNotFound
 	}
+	if f.load != nil {
+		return store.Row{Key: key, Value: f.load}, nil
+	}
 	value, err := rows.EncodeLoad(rows.Load{Engaged: []engine.EngagedWorker{{ID: "i-1", Born: 5}}})
 	return store.Row{Key: key, Value: value}, err
 }
@@ -152,6 +158,47 @@
 	require.Equal(t, engine.CancelRequested{Job: "00000000000000a1"}, p.events[1])
 }
 
+// lostTable executes no transaction and returns an unknown result.
+type lostTable struct{ store.Table }
+
+func (lostTable) Commit(context.Context, []store.Op) ([]uint64, error) {
+	return nil, store.ErrUnknown
+}
+
+// A write of the load row without an answer may have taken effect. The former row
+// counted as stored nevertheless: it was not written again, and a worker was used
+// that the store's row did not name, so that a successor did not wait for it.
+func TestLoadRowIsWrittenAgainAfterUnknownWrite(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.State = holder.Held
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	writesLoadRow := func() bool {
+		return slices.ContainsFunc(d.collectOps(d.now(), p, true), func(op store.Op) bool { return op.Key == store.KeyLoad("p") })
+	}
+	p.storedLoadRow = []byte("former row")
+	require.True(t, writesLoadRow())
+	former := p.pendingLoadRow
+	p.storedLoadRow, p.pendingLoadRow = former, []byte("another row")
+	d.handleLeaseWritten(leaseWritten{pool: "p", result: holder.Commit(context.Background(), lostTable{}, p.Append(d.now(), nil))})
+	require.True(t, writesLoadRow())
+}
+
+// In an outage of the store that outlasted the overrun, each renewal collected
+// another batch although the engine had not learned that the last one failed. The
+// first write that succeeded acknowledged ends that no batch had stored.
+func TestNoBatchIsCollectedWhileTheEngineIsNotStepped(t *testing.T) {
+	d := newDuty()
+	d.Table = lostTable{}
+	p := d.addPool("p")
+	p.State = holder.Held
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	require.False(t, p.ValidWithin(d.now(), leaseOverrun))
+	d.runPool(context.Background(), d.now(), p)
+	require.True(t, p.Writing(), "the lease is renewed")
+	require.Nil(t, p.pendingBatch)
+}
+
 func registrationRow(id, pool string) store.Change {
 	return store.Change{Row: store.Row{Key: "servers//" + id, Value: []byte(`{"service":"` + pool +
 		`","addr":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1},"born":5}`)}}
@@ -169,6 +216,55 @@
 	return New(Options{Self: "n", Decode: worker.Decode, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
 }
 
+// A stored job beyond the limits of a submission, such as one that an earlier version
+// accepted, ended each owner of its pool in turn for lack of memory.
+func TestStoredJobBeyondLimitsIsNotScheduled(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	for _, step := range []string{`{"n":1000000000,"size":{}}`, `{"n":-1,"size":{}}`, `{"n":1,"size":{},"after":[7]}`, `{"n":1,"size":{},"after":[-1]}`} {
+		value := []byte(`{"id":"00000000000000a1","pool":"p","steps":[` + step + `]}`)
+		require.Zero(t, d.addWorkEvent(p, store.Change{Row: store.Row{Key: "work/q-0/00000000000000a1", Value: value}}, nil), step)
+	}
+	require.Empty(t, p.events)
+	value := []byte(`{"id":"00000000000000a1","pool":"p","steps":[{"n":1,"size":{}}]}`)
+	require.Equal(t, 1, d.addWorkEvent(p, store.Change{Row: store.Row{Key: "work/q-0/00000000000000a1", Value: value}}, nil))
+}
+
+// A job whose progress row could not be decoded was scheduled as if nothing of it had
+// run, so that its done tasks ran a second time.
+func TestJobWithUndecodableProgressIsNotScheduled(t *testing.T) {
+	d := newDuty()
+	p := d.addPool("p")
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 1}, nil)
+	row := func(key, value string) store.Row { return store.Row{Key: key, Value: []byte(value)} }
+	work := func(id string) store.Row {
+		return row("work/q-0/"+id, `{"id":"`+id+`","pool":"p","steps":[{"n":1,"size":{}}]}`)
+	}
+	d.addJobEvents(p, jobsRead{
+		workRows: []store.Row{work("00000000000000a1"), work("00000000000000a2"), work("00000000000000a3")},
+		progressRows: []store.Row{
+			row(store.KeyProgress("p", "00000000000000a1"), "\xff"), row(store.KeyProgress("p", "00000000000000a2"), `{"tasks":[{"i":-1}]}`),
+		},
+	})
+	require.Len(t, p.events, 1)
+	require.Equal(t, "00000000000000a3", p.events[0].(engine.JobAdded).Submission.ID)
+}
+
+// A new owner whose predecessor's load row could not be decoded read the jobs again and
+// again, and the pool stood still.
+func TestUndecodableLoadRowDelaysRecoveredJobsOnly(t *testing.T) {
+	f := &fakeStore{rows: map[string][]store.Row{}, load: []byte("\xff")}
+	d := newDuty()
+	d.Table, d.Feed = f, f
+	p := d.addPool("p")
+	d.startReadJobs(context.Background(), p)
+	r := (<-d.results.C()).(jobsRead)
+	require.NoError(t, r.err)
+	// A worker that never answers, so that the leases of the unknown ones expire first.
+	require.Equal(t, []engine.EngagedWorker{{}}, r.load.Engaged)
+}
+
 // Live workers were removed because their registrations had lapsed during an
 // outage of the store.
 func TestRegistrationsLapsedInOutageAreKept(t *testing.T) {
@@ -201,6 +297,67 @@
 	require.Empty(t, registeredIDs(d))
 }
 
+// A valid registration that another writer replaced by an odd one kept its worker in
+// use until the next full read of the table. The others must not be affected.
+func TestOddRegistrationReplacesTheValidOne(t *testing.T) {
+	d := newDuty()
+	now := time.Unix(1000, 0)
+	both := []store.Change{registrationRow("i-1", "p"), registrationRow("i-2", "p")}
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}))
+	odd := store.Change{Row: store.Row{Key: "servers//i-1", Value: []byte(`{"service":"p"}`)}}
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}))
+	require.Equal(t, []string{"i-2"}, registeredIDs(d))
+	require.False(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}), "nothing has changed")
+	// The grace period after an outage is for registrations that have lapsed.
+	d.registry.outageEndedAt = now
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}))
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Reset: true, Changes: []store.Change{odd, both[1]}}))
+	require.Equal(t, []string{"i-2"}, registeredIDs(d))
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: both}), "the worker has registered again")
+	require.Equal(t, []string{"i-1", "i-2"}, registeredIDs(d))
+}
+
+// A row whose key is not that of a registration made the slice of its key panic,
+// which ends the process, or was removed as the worker with the same id.
+func TestRowsWithOddKeysAreNotRegistrations(t *testing.T) {
+	d := newDuty()
+	now := time.Unix(1000, 0)
+	valid := registrationRow("i-1", "p")
+	require.True(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{valid}}))
+	for _, key := range []string{"//", "", "servers", "servers//", "servers/x/i-1", "servers/x//i-1", "op//i-1"} {
+		for _, removed := range []bool{false, true} {
+			odd := store.Change{Row: store.Row{Key: key, Value: valid.Value}, Removed: removed}
+			require.False(t, d.updateRegistrations(now, follow.Delta{Table: "servers", Changes: []store.Change{odd}}), key)
+			require.Equal(t, []string{"i-1"}, registeredIDs(d), key)
+		}
+	}
+}
+
+// Each heartbeat of a writer whose rows can't be decoded wrote a line to the log.
+func TestOddRegistrationIsLoggedOnce(t *testing.T) {
+	var log bytes.Buffer
+	d := newDuty()
+	d.Log = hclog.New(&hclog.LoggerOptions{Output: &log})
+	now := time.Unix(1000, 0)
+	odd := store.Change{Row: store.Row{Key: "servers//i-1", Value: []byte("\xff")}}
+	update := func(reset bool, changes ...store.Change) {
+		d.updateRegistrations(now, follow.Delta{Table: "servers", Reset: reset, Changes: changes})
+	}
+	lines := func() int { return strings.Count(log.String(), "\n") }
+	for range 10 {
+		update(false, odd)
+		update(true, odd)
+	}
+	require.Equal(t, 1, lines())
+	update(false, registrationRow("i-1", "p"))
+	update(false, odd)
+	require.Equal(t, 2, lines(), "it was valid in between")
+	update(true)
+	update(true, odd)
+	require.Equal(t, 3, lines(), "it was gone in between")
+
+}
+
 // After changes of the lease rows were missed, the work table and the
 // registrations must be read again, because their changes may be missing too.
 func TestMissedLeaseChangesRestartFollowers(t *testing.T) {
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -102,27 +102,6 @@
 	Accepted int64    `json:"at"` // Unix ms of the acceptance by the clock of the accepting VM
 }
 
-// Validate returns an error if the submission can't be run.
-func (s *Submission) Validate() error {
-	if len(s.Steps) == 0 {
-		return fmt.Errorf("job %s has no steps", s.ID)
-	}
-	for i, st := range s.Steps {
-		if st.Count <= 0 {
-			return fmt.Errorf("step %d has %d tasks, want at least 1", i, st.Count)
-		}
-		if st.Size.MilliCores < 0 || st.Size.MemoryMB < 0 || st.Size.Accelerators < 0 {
-			return fmt.Errorf("step %d asks for a negative size", i)
-		}
-		for _, a := range st.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("step %d comes after step %d, which is not an earlier one", i, a)
-			}
-		}
-	}
-	return nil
-}
-
 // TaskID identifies a task of one occurrence of a job.
 type TaskID struct {
 	Job        string
@@ -208,6 +187,7 @@
 	State          JobState       `json:"state"`
 	Ended          int64          `json:"ended,omitempty"` // Unix ms of the end of the job; 0: not ended
 	NextOccurrence int            `json:"next,omitempty"`  // first occurrence that has not ended
+	LaterEnded     []int          `json:"later,omitempty"` // occurrences after NextOccurrence that have ended
 	Tasks          []TaskProgress `json:"tasks,omitempty"` // tasks with state to store
 }
 
