engine, pools: look up jobs that a worker reports and the owner has not read

Callers can see: after a takeover while routes are added, tasks of jobs of a new route are stopped and run again, or the jobs never run.

Cause: a new owner reads the jobs of the queues that its configuration or the former owner's last lease row names. A queue that it learned of later was not read. Runs of its jobs counted as unwanted and were stopped, and their ends were acknowledged without being processed.

Change: runs of a job that the owner does not know are kept, and its ends are not acknowledged, until the job has been looked up in all queues (a read per queue) or is known not to exist. The jobs of a queue that is configured later are read then.

Evidence: TestRunsAndEndsOfUnreadJobAreKeptUntilItIsFound, TestRunsOfAbsentJobAreStopped and TestQueueThatIsConfiguredLaterIsRead failed with the lookup and the read switched off, and pass now; TestReportedJobIsFoundInAnyQueue covers the reads.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -23,6 +23,9 @@
 	holds      []Hold
 	decisions  []Decision
 	superseded bool
+	search     []string // jobs of the last search
+
+	holdsSearches bool // the test itself answers searches
 }
 
 // fakeWorker carries out and answers all orders unless its fields say
@@ -139,6 +142,12 @@
 	case Hold:
 		r.holds = append(r.holds, a)
 		return []Event{r.answerHold(a)}
+	case FindJobs:
+		r.search = a.IDs
+		if r.holdsSearches {
+			return nil
+		}
+		return []Event{JobsSearched{IDs: a.IDs, OK: true}}
 	case Decision:
 		r.decisions = append(r.decisions, a)
 	case Superseded:
--- a/engine/run.go
+++ b/engine/run.go
@@ -16,6 +16,10 @@
 			continue
 		}
 		w.lastEndProcessed = e.Number
+		if m.unknownJob(e.Task.Job) {
+			w.heldEnds = append(w.heldEnds, e)
+			continue
+		}
 		if t := m.reportedTask(now, e.Task); t != nil {
 			m.handleEnd(now, w, t, e)
 		}
@@ -96,18 +100,15 @@
 // owner has recorded.
 func (m *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldAnswered) {
 	reported := make(map[*run]bool, len(w.runs))
+	w.unknownRuns = nil
 	for _, report := range e.Report.Running {
-		t := m.reportedTask(now, report.Task)
-		if t == nil {
-			m.stopUnwanted(w, report)
+		if m.unknownJob(report.Task.Job) {
+			w.unknownRuns = append(w.unknownRuns, report)
 			continue
 		}
-		r := t.findRun(w, report.Attempt)
-		if r == nil {
-			r = m.adoptRun(now, t, w, report)
+		if r := m.reconcileRun(now, w, report); r != nil {
+			reported[r] = true
 		}
-		reported[r] = true
-		m.updateRun(now, r, report)
 	}
 	if e.Report.MoreEnds {
 		return
@@ -119,7 +120,7 @@
 	}
 }
 
-// stopUnwanted stops a run of a job that has ended or was never accepted.
+// stopUnwanted stops a run of a job that has ended or does not exist.
 func (m *Scheduler) stopUnwanted(w *worker, report RunReport) {
 	m.emit(Decision{What: "run-unwanted", Job: report.Task.Job, Task: report.Task.String(), Worker: w.ID, Attempt: report.Attempt, Why: "its job has ended"})
 	m.emit(Stop{Target: w.target(), Token: m.cfg.Token, Task: report.Task, Attempt: report.Attempt})
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -34,6 +34,10 @@
 	jobs            map[string]*job
 	arrivalOrder    []*job                       // jobs in the order of their arrival
 	ended           map[string]workload.JobState // final states of jobs that are not in jobs any more
+	absentJobs      map[string]bool              // jobs that a worker reported and that do not exist
+	jobsToFind      map[string]bool              // unknown jobs that a worker reported
+	searching       bool                         // FindJobs has no result yet
+	nextSearch      time.Time                    // earliest time of the next search
 	workers         map[string]*worker
 	sortedWorkers   []*worker            // workers, sorted by ID
 	toRelease       map[string]bool      // machines that the fleet's owner wants free of work
@@ -77,7 +81,7 @@
 func New(now time.Time, cfg Config, formerWorkers []EngagedWorker) *Scheduler {
 	m := &Scheduler{
 		cfg: cfg, queues: map[string]workload.Queue{}, jobs: map[string]*job{},
-		ended: map[string]workload.JobState{}, workers: map[string]*worker{},
+		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, workers: map[string]*worker{},
 		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]time.Time{},
 	}
 	if len(formerWorkers) > 0 {
@@ -108,6 +112,7 @@
 	if m.superseded {
 		return m.actions
 	}
+	m.settleUnknown(now)
 	m.expireLeases(now)
 	m.openDueOccurrences(now)
 	m.closeFinished(now)
@@ -116,6 +121,7 @@
 	m.place(now)
 	m.adjustThrottling()
 	m.sendDueHolds(now)
+	m.searchJobs(now)
 	return m.actions
 }
 
@@ -179,6 +185,8 @@
 		m.handleThrottleAnswer(e)
 	case AdviceAnswered:
 		m.handleAdvice(now, e)
+	case JobsSearched:
+		m.handleJobsSearched(now, e)
 	case Stored:
 		m.handleStored(e)
 	}
@@ -207,6 +215,7 @@
 	}
 	if e.Progress != nil && e.Progress.State.Ended() {
 		m.ended[id] = e.Progress.State
+		delete(m.jobsToFind, id)
 		return
 	}
 	queue, ok := m.queues[e.Submission.Queue.Name]
@@ -215,6 +224,8 @@
 		// received the configuration with it yet.
 		queue = e.Submission.Queue
 	}
+	delete(m.jobsToFind, id)
+	delete(m.absentJobs, id)
 	j := newJob(now, m.wallMs, e, queue)
 	m.jobs[id] = j
 	m.arrivalOrder = append(m.arrivalOrder, j)
--- a/engine/simowner_test.go
+++ b/engine/simowner_test.go
@@ -80,6 +80,7 @@
 	nextRetry            time.Duration
 	over                 bool
 	known, cancelled     map[string]bool
+	hidden               map[string]bool // jobs of a queue that its configuration does not have yet
 	wakeSeq              int
 }
 
@@ -130,13 +131,51 @@
 	queue := testQueue
 	queue.MaxAttempts = 1000
 	o.events = append(o.events, QueuesUpdated{Queues: []workload.Queue{queue}})
+	if s.chance(0.3) {
+		o.hidden = map[string]bool{}
+		for i, id := range s.jobIDs {
+			o.hidden[id] = i%3 == 0
+		}
+		s.after(s.between(500*time.Millisecond, 3*time.Second), o.reread)
+	}
 	for _, id := range s.jobIDs {
-		o.addJob(id, true)
+		if !o.hidden[id] {
+			o.addJob(id, true)
+		}
 	}
 	o.workersChanged()
 	o.run()
 }
 
+// reread reads the jobs again because a queue was configured.
+func (o *simOwner) reread() {
+	s := o.p.world
+	switch {
+	case o.over:
+		return
+	case !o.p.reachesStore():
+		s.after(300*time.Millisecond, o.reread)
+		return
+	}
+	o.hidden = nil
+	for _, id := range s.jobIDs {
+		o.addJob(id, true)
+	}
+	o.run()
+}
+
+func (o *simOwner) find(ids []string) {
+	ok := o.p.reachesStore()
+	for _, id := range ids {
+		if ok && o.p.world.jobs[id] != nil {
+			delete(o.hidden, id)
+			o.addJob(id, true)
+		}
+	}
+	o.events = append(o.events, JobsSearched{IDs: ids, OK: ok})
+	o.wakeAt(o.p.world.now + time.Millisecond)
+}
+
 func (o *simOwner) addJob(id string, read bool) {
 	j := o.p.world.jobs[id]
 	if !o.known[id] {
@@ -174,7 +213,9 @@
 		return
 	}
 	for _, id := range p.world.jobIDs {
-		o.addJob(id, false)
+		if !o.hidden[id] {
+			o.addJob(id, false)
+		}
 	}
 	o.workersChanged()
 	o.run()
@@ -393,6 +434,8 @@
 			return StopAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: r}
 		}
 		o.call(a.Incarnation.ID, simCallLimit, func(w *simWorker, answer func(Event)) { answer(reply(w.stop(a))) }, reply)
+	case FindJobs:
+		s.after(s.between(5*time.Millisecond, 50*time.Millisecond), func() { o.find(a.IDs) })
 	case Superseded:
 		o.end("fenced by " + a.Worker)
 	case Decision:
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -309,7 +309,7 @@
 	}
 	for _, w := range m.sortedWorkers {
 		if complete {
-			b.lastEnds[w.Incarnation] = w.lastEndProcessed
+			b.lastEnds[w.Incarnation] = w.lastEndSettled()
 		}
 	}
 	if withLoad {
@@ -385,7 +385,7 @@
 // isReleased reports whether a machine that is to be released has nothing
 // running, gets no starts, and has no ends left to be stored.
 func (m *Scheduler) isReleased(w *worker) bool {
-	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && len(w.runs) == 0 && w.lastEndProcessed <= w.lastEndStored
+	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && len(w.runs)+len(w.unknownRuns) == 0 && w.lastEndProcessed <= w.lastEndStored
 }
 
 // widestSpread returns the number of machines that the open long-running step
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -255,3 +255,54 @@
 	r.advance(20 * time.Millisecond)
 	require.Len(t, r.starts, 2, "reports are recent during the overrun")
 }
+
+// A new owner whose configuration was behind did not read the jobs of a new queue.
+// It stopped their runs, acknowledged their ends, and ran the tasks again later.
+func TestRunsAndEndsOfUnreadJobAreKeptUntilItIsFound(t *testing.T) {
+	a := newWorker("a")
+	task := func(i int) workload.TaskID { return workload.TaskID{Job: "j1", Index: i} }
+	a.running = []RunReport{{Task: task(0), Attempt: 1}}
+	a.lastEnd, a.ended = 1, []EndReport{{Number: 1, Task: task(1), Attempt: 1, Reason: EndDone}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(time.Second)
+	require.Equal(t, []string{"j1"}, r.search)
+	require.Empty(t, r.stops)
+	require.Len(t, a.ended, 1, "the end is not acknowledged")
+	job := testJob("j1", simpleStep(2))
+	job.Recovered = true
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	r.advance(time.Second)
+	require.Empty(t, r.starts)
+	require.Empty(t, r.stops)
+	require.Empty(t, a.ended)
+	a.endRun(task(0), 1, EndDone)
+	r.advance(time.Second)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
+
+// Guards against runs of a job that does not exist, which would go on for ever, and
+// against a search that is not repeated after it failed.
+func TestRunsOfAbsentJobAreStopped(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j9"}, Attempt: 1}}
+	r := newHarness(t, 1, nil)
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(100 * time.Millisecond)
+	ids := r.search
+	r.search = nil
+	r.step(JobsSearched{IDs: ids})
+	r.advance(time.Second)
+	require.Equal(t, ids, r.search)
+	require.Empty(t, r.stops)
+	r.step(JobsSearched{IDs: ids, OK: true})
+	r.advance(time.Second)
+	require.NotEmpty(t, r.stops)
+	require.Empty(t, a.running)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -69,13 +69,15 @@
 	used             placement.Size // capacity that the runs take
 	clockMs          int64          // reading of the worker's clock in ms, received at clockAt
 	clockAt          time.Time
-	deadline         int64     // latest deadline sent, in ms on the worker's clock
-	leaseEnd         time.Time // when the leases of all runs must have expired, by our clock
-	lastEndProcessed int       // ends up to this number have been processed
-	lastEndStored    int       // ends up to this number are in the store and can be acknowledged
-	lastEndAcked     int       // ends up to this number were acknowledged by an answered hold
-	ackSent          int       // acknowledgement in the last hold
-	holdPending      bool      // a hold has no answer yet
+	deadline         int64       // latest deadline sent, in ms on the worker's clock
+	leaseEnd         time.Time   // when the leases of all runs must have expired, by our clock
+	lastEndProcessed int         // ends up to this number have been processed
+	heldEnds         []EndReport // processed ends of unknown jobs, in the order of their numbers
+	unknownRuns      []RunReport // reported runs of unknown jobs
+	lastEndStored    int         // ends up to this number are in the store and can be acknowledged
+	lastEndAcked     int         // ends up to this number were acknowledged by an answered hold
+	ackSent          int         // acknowledgement in the last hold
+	holdPending      bool        // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
 	releaseReported  bool      // the load row reports its machine as released
@@ -94,7 +96,7 @@
 // pool's status and these workers. A successor waits for the workers in the row,
 // so one that has no work and gets none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
+	return len(w.runs)+len(w.unknownRuns) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -37,7 +37,7 @@
 	if p.State != holder.Held {
 		return wake
 	}
-	if (p.engine == nil || p.missedChanges) && d.workFollowed && !p.readingJobs && !now.Before(p.readJobsAt) {
+	if (p.engine == nil || p.missedChanges || len(p.unreadQueues) > 0) && d.workFollowed && !p.readingJobs && !now.Before(p.readJobsAt) {
 		d.startReadJobs(ctx, p)
 	}
 	if p.engine != nil && p.ValidWithin(now, leaseOverrun) {
@@ -145,6 +145,8 @@
 		})
 	case engine.Advise:
 		d.askPolicy(ctx, a, reply)
+	case engine.FindJobs:
+		d.startFindJobs(ctx, p, a.IDs)
 	case engine.Decision:
 		d.Log.Info(a.What, "pool", name, "token", token, "job", a.Job, "task", a.Task, "run", a.Attempt, "worker", a.Worker, "why", a.Why)
 	case engine.Superseded:
--- /dev/null
+++ b/node/pools/find_test.go
@@ -0,0 +1,82 @@
+package pools
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/node/holder"
+	"github.com/carobwharf/carobwharf/rows"
+	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
+)
+
+const unreadJob = "00000000000000a1"
+
+// newDutyWithUnreadJob returns a duty that owns pool p, and the store with a
+// cancelled job of a queue that the duty has not read.
+func newDutyWithUnreadJob(t *testing.T) (*Duty, *pool, *fakeStore, workload.Queue) {
+	queue := workload.Queue{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}
+	name := store.WorkQueue("h", "/a/")
+	value, err := rows.EncodeWork(workload.Submission{ID: unreadJob, Pool: "p", Queue: queue, Steps: []workload.Step{{Count: 1}}})
+	require.NoError(t, err)
+	f := &fakeStore{rows: map[string][]store.Row{
+		name + "-0": {
+			{Key: store.KeyWork(name, unreadJob), Value: value, Version: 3},
+			{Key: store.KeyWorkCancel(name, unreadJob), Version: 4},
+		},
+		store.WorkQueue("h", "/b/") + "-0": nil,
+	}}
+	d := newDuty()
+	d.Table, d.Feed = f, f
+	p := d.addPool("p")
+	p.State, p.TakenVersion, p.Control.Token = holder.Held, 9, 2
+	p.engine = engine.New(d.now(), engine.Config{Pool: "p", Token: 2}, nil)
+	return d, p, f, queue
+}
+
+// The jobs of a queue that was configured after the pool's jobs had been read were
+// never read, and their runs were stopped.
+func TestQueueThatIsConfiguredLaterIsRead(t *testing.T) {
+	d, p, f, queue := newDutyWithUnreadJob(t)
+	p.queues[store.WorkQueue("h", "/b/")] = true
+	d.workFollowed = true
+	d.handleView(&board.View{Configuration: &workload.Configuration{
+		Queues: []workload.Queue{queue, {Name: "r", Host: "h", Prefix: "/b/", Pool: "p"}},
+		Pools:  []workload.PoolOptions{{Name: "p"}},
+	}})
+	p.events = nil
+	d.runPool(context.Background(), d.now(), p)
+	require.True(t, p.readingJobs)
+	sent := p.jobsReadSent
+	d.handleResult(<-d.results.C())
+	require.Equal(t, []string{store.WorkQueue("h", "/a/") + "-0"}, f.readParts, "the other queue has been read")
+	require.Equal(t, sent, p.jobsReadSent, "cancellations of other queues were not read")
+	require.Len(t, p.events, 2)
+	require.True(t, p.events[0].(engine.JobAdded).Recovered)
+	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+	require.Empty(t, p.unreadQueues)
+}
+
+// A job of a queue that is not in this process's configuration must be found when a
+// worker reports a run of it.
+func TestReportedJobIsFoundInAnyQueue(t *testing.T) {
+	d, p, _, _ := newDutyWithUnreadJob(t)
+	d.execute(context.Background(), p, engine.FindJobs{IDs: []string{unreadJob, "00000000000000b2"}})
+	var r any
+	select {
+	case r = <-d.results.C():
+	case <-time.After(5 * time.Second):
+		t.Fatal("no result of the search")
+	}
+	d.handleResult(r)
+	require.Len(t, p.events, 3)
+	require.Equal(t, unreadJob, p.events[0].(engine.JobAdded).Submission.ID)
+	require.True(t, p.events[0].(engine.JobAdded).Recovered)
+	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+	require.True(t, p.events[2].(engine.JobsSearched).OK)
+}
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -30,6 +30,7 @@
 	pendingLoadRow []byte          // load row that is being stored; nil: the write does not include it
 	queues         map[string]bool // names, as returned by store.WorkQueue, of all queues that have been configured for the pool
 	jobsReadSent   time.Time       // when the latest complete read of the pool's jobs was sent
+	unreadQueues   []string        // names of queues that were configured after the pool's jobs had been read
 	missedChanges  bool            // changes of the work table were missed; the jobs must be read again
 }
 
@@ -56,11 +57,22 @@
 		pool         string
 		sent         time.Time
 		token        uint64
+		unreadQueues []string // only these queues were read; empty: all of the pool
 		workRows     []store.Row
 		progressRows []store.Row
 		load         rows.Load // load row of the former owner
 		err          error
 	}
+	// jobsFound holds the rows of jobs that workers reported and that the owner had
+	// not read.
+	jobsFound struct {
+		pool         string
+		token        uint64
+		ids          []string
+		workRows     []store.Row
+		progressRows []store.Row
+		err          error
+	}
 	callAnswered struct {
 		pool  string
 		token uint64
@@ -89,6 +101,8 @@
 		d.handleLeaseWritten(r)
 	case jobsRead:
 		d.handleJobsRead(r)
+	case jobsFound:
+		d.handleJobsFound(r)
 	case callAnswered:
 		if p := d.pools[r.pool]; p.engine != nil && p.Control.Token == r.token {
 			p.addEvent(r.event)
@@ -124,14 +138,23 @@
 }
 
 // startReadJobs starts to read the jobs of a pool that has been taken over, or
-// of which changes were missed. The result is posted as jobsRead.
+// of which changes were missed, or those of queues that have not been read. The
+// result is posted as jobsRead.
 func (d *Duty) startReadJobs(ctx context.Context, p *pool) {
 	result := jobsRead{pool: p.Name, sent: d.now(), token: p.Control.Token}
-	p.readingJobs, p.missedChanges = true, false
-	queues := maps.Clone(p.queues)
-	for _, q := range p.FormerControl.Queues {
+	var queues map[string]bool
+	if p.engine != nil && !p.missedChanges {
+		result.unreadQueues, queues = p.unreadQueues, map[string]bool{}
+	} else {
+		queues = maps.Clone(p.queues)
+		for _, q := range p.FormerControl.Queues {
+			queues[q] = true
+		}
+	}
+	for _, q := range p.unreadQueues {
 		queues[q] = true
 	}
+	p.readingJobs, p.missedChanges, p.unreadQueues = true, false, nil
 	d.storePool.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, jobsReadTimeout)
 		defer cancel()
@@ -148,6 +171,9 @@
 		return err
 	}
 	parts = slices.DeleteFunc(parts, func(part string) bool { return !queues[store.QueueOfPart(part)] })
+	if len(parts) == 0 && len(result.unreadQueues) > 0 {
+		return nil // the queues have no jobs
+	}
 	if len(parts) > 0 {
 		if result.workRows, _, err = d.Feed.Snapshot(ctx, store.TableWork, parts...); err != nil {
 			return err
@@ -174,12 +200,16 @@
 	}
 	if result.err != nil {
 		d.Log.Warn("jobs of the pool can't be read", "pool", p.Name, "error", result.err)
-		p.readJobsAt, p.missedChanges = d.now().Add(jobsReadRetry), p.engine != nil
+		p.readJobsAt = d.now().Add(jobsReadRetry)
+		p.unreadQueues = append(p.unreadQueues, result.unreadQueues...)
+		p.missedChanges = p.missedChanges || p.engine != nil && len(result.unreadQueues) == 0
 		return
 	}
-	p.jobsReadSent = times.Later(p.jobsReadSent, result.sent)
+	if len(result.unreadQueues) == 0 {
+		p.jobsReadSent = times.Later(p.jobsReadSent, result.sent)
+	}
 	if p.engine != nil {
-		d.Log.Info("reread the jobs of the pool after missed changes", "pool", p.Name, "jobs", d.addJobEvents(p, result))
+		d.Log.Info("read jobs of the pool again", "queues", result.unreadQueues, "pool", p.Name, "jobs", d.addJobEvents(p, result))
 		return
 	}
 	p.engine = engine.New(d.now(), engine.Config{
@@ -196,15 +226,7 @@
 // addJobEvents queues events for the jobs that were read and for the changes that
 // arrived meanwhile. It returns the number of jobs that were read.
 func (d *Duty) addJobEvents(p *pool, result jobsRead) int {
-	progressByJob := map[string]*workload.Progress{}
-	for _, row := range result.progressRows {
-		progress, err := rows.DecodeProgress(row.Value)
-		if err != nil {
-			d.Log.Warn("can't decode progress row", "row", row.Key, "error", err)
-			continue
-		}
-		progressByJob[row.Key[len(store.PrefixProgress(p.Name)):]] = &progress
-	}
+	progressByJob := d.decodeProgress(p, result.progressRows)
 	jobs := 0
 	for _, row := range result.workRows {
 		jobs += d.addWorkEvent(p, store.Change{Row: row}, progressByJob)
@@ -216,6 +238,20 @@
 	return jobs
 }
 
+// decodeProgress returns the progress of jobs by their IDs.
+func (d *Duty) decodeProgress(p *pool, progressRows []store.Row) map[string]*workload.Progress {
+	byJob := map[string]*workload.Progress{}
+	for _, row := range progressRows {
+		progress, err := rows.DecodeProgress(row.Value)
+		if err != nil {
+			d.Log.Warn("can't decode progress row", "row", row.Key, "error", err)
+			continue
+		}
+		byJob[row.Key[len(store.PrefixProgress(p.Name)):]] = &progress
+	}
+	return byJob
+}
+
 // addWorkEvent queues an event for a row of the work table. It returns 1 if the
 // row is a submission to the pool, otherwise 0.
 func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -272,8 +272,13 @@
 		if p.configuration != v.Configuration {
 			p.configuration = v.Configuration
 			for _, q := range v.Configuration.Queues {
-				if q.Pool == name {
-					p.queues[store.WorkQueue(q.Host, q.Prefix)] = true
+				queue := store.WorkQueue(q.Host, q.Prefix)
+				if q.Pool != name || p.queues[queue] {
+					continue
+				}
+				p.queues[queue] = true
+				if p.engine != nil || p.readingJobs {
+					p.unreadQueues = append(p.unreadQueues, queue)
 				}
 			}
 			p.addEvent(engine.QueuesUpdated{Queues: v.Configuration.Queues})
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -97,6 +97,13 @@
 func (f *fakeStore) Scan(context.Context, string, string, int) ([]store.Row, error) { return nil, nil }
 
 func (f *fakeStore) Get(_ context.Context, key string) (store.Row, error) {
+	for _, list := range f.rows {
+		for _, row := range list {
+			if row.Key == key {
+				return row, nil
+			}
+		}
+	}
 	if key != store.KeyLoad("p") {
 		return store.Row{}, store.ErrNotFound
 	}
