--- a/engine/worker.go
+++ b/engine/worker.go
@@ -70,10 +70,12 @@
 	used             placement.Size // capacity that the runs take
 	clockMs          int64          // reading of the worker's clock in ms, received at clockAt
 	clockAt          time.Time
-	deadline         int64     // latest deadline sent, in ms on the worker's clock
-	leaseEnd         time.Time // when the leases of all runs must have expired, by our clock
-	lastEndProcessed int       // ends up to this number have been processed
-	lastEndStored    int       // ends up to this number are in the store and can be acknowledged
+	deadline         int64       // latest deadline sent, in ms on the worker's clock
+	leaseEnd         time.Time   // when the leases of all runs must have expired, by our clock
+	lastEndProcessed int         // ends up to this number have been processed
+	heldEnds         []EndReport // processed ends of unknown jobs, in the order of their numbers
+	unknownRuns      []RunReport // reported runs of unknown jobs
+	lastEndStored    int         // ends up to this number are in the store and can be acknowledged
 	unstoredEnds     []unstoredEnd
 	lastEndAcked     int  // ends up to this number were acknowledged by an answered hold
 	ackSent          int  // acknowledgement in the last hold
@@ -99,10 +101,11 @@
 
 // belongsInLoadRow reports whether the load row must name the worker because it
 // has runs or may get some, or because ends of its runs are not stored yet. The
-// load row is the pool's row in the store with the pool's status and these workers. A successor waits for the workers in the row,
-// so one that has no work and gets none must not stay in it.
+// load row is the pool's row in the store with the pool's status and these workers.
+// A successor waits for the workers in the row, so one that has no work and gets
+// none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return len(w.runs) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
+	return len(w.runs)+len(w.unknownRuns) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
