engine: don't wait for former workers whose machine has been moved

Callers saw accepted jobs wait up to 11 s after each change of a pool's owner.

Cause: a new owner starts the tasks of recovered jobs only after each worker in the former owner's load row has answered or its lease must have expired. While machines move, the row names workers that have ended: their machine leaves the list of machines to release when the move is done, and their registration outlives them by some seconds, so the owner, which had an earlier answer of theirs, counted them as usable again. They never answer.

A worker whose machine leaves the list of machines to release has to answer again before it counts. The load row names the machine of each worker, and a successor stops waiting for a worker when a later one is registered on its machine, since a worker is one life of its machine. Workers that crashed or are cut off are waited for as before.

TestMovedWorkerDoesNotReturnToTheLoadRow failed before (want [b], got [a b]), TestNewOwnerDoesNotWaitForWorkerOfRestartedMachine needs the new event.

--- a/engine/event.go
+++ b/engine/event.go
@@ -28,6 +28,10 @@
 // WorkersUpdated carries all workers that are registered in the pool.
 type WorkersUpdated struct{ Workers []workload.Worker }
 
+// MachinesRestarted carries by machine the start (Unix ms) of the newest worker that
+// is registered on it in any pool.
+type MachinesRestarted struct{ Born map[string]int64 }
+
 // ReleaseUpdated carries the machines that the fleet's owner wants free of work,
 // according to the given version of its row.
 type ReleaseUpdated struct {
@@ -159,17 +163,18 @@
 	OK    bool
 }
 
-func (JobAdded) event()         {}
-func (CancelRequested) event()  {}
-func (QueuesUpdated) event()    {}
-func (WorkersUpdated) event()   {}
-func (ReleaseUpdated) event()   {}
-func (HoldAnswered) event()     {}
-func (StartAnswered) event()    {}
-func (StopAnswered) event()     {}
-func (ThrottleAnswered) event() {}
-func (AdviceAnswered) event()   {}
-func (Stored) event()           {}
+func (JobAdded) event()          {}
+func (CancelRequested) event()   {}
+func (QueuesUpdated) event()     {}
+func (WorkersUpdated) event()    {}
+func (ReleaseUpdated) event()    {}
+func (MachinesRestarted) event() {}
+func (HoldAnswered) event()      {}
+func (StartAnswered) event()     {}
+func (StopAnswered) event()      {}
+func (ThrottleAnswered) event()  {}
+func (AdviceAnswered) event()    {}
+func (Stored) event()            {}
 
 // Action is an output of Scheduler.Step for the caller to carry out.
 type Action interface{ action() }
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -367,7 +367,7 @@
 	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
 	require.Len(t, r.m.Collect(1, true).Engaged, 2)
 	r.step(ReleaseUpdated{Machines: map[string]bool{"m-a": true}, Version: 3})
-	require.Equal(t, []EngagedWorker{{ID: "b", Born: 1}}, r.m.Collect(1, true).Engaged)
+	require.Equal(t, []EngagedWorker{{ID: "b", Born: 1, Machine: "m-b"}}, r.m.Collect(1, true).Engaged)
 	// Guards against a released worker whose last ends are never acknowledged, so
 	// that its machine is never reported as released.
 	r.workers["a"].lastEnd = 1
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -43,32 +43,41 @@
 	searching       bool                         // FindJobs has no result yet
 	nextSearch      time.Time                    // earliest time of the next search
 	workers         map[string]*worker
-	sortedWorkers   []*worker            // workers, sorted by ID
-	toRelease       map[string]bool      // machines that the fleet's owner wants free of work
-	releaseVersion  uint64               // version of the fleet's row that toRelease comes from
-	upcomingRelease map[string]bool      // machines that must be released later
-	reserved        map[*worker]bool     // workers kept free for long-running tasks during this placement pass
-	formerWorkers   map[string]time.Time // workers that the former owner may have used, with the expiry of their leases
-	shortfall       int                  // thousandths of a core that waiting tasks lack
-	storedLoad      int                  // load in the last load row written, in thousandths of a core
-	needsPlacement  bool                 // something that placement depends on has changed
-	waitingSteps    int                  // number of candidates in the last placement pass
-	unplacedSteps   int                  // number of those of which the pass left tasks waiting
-	candidateBuffer []candidate          // reused by the placement passes
-	nextPlacement   time.Time            // earliest time of the next placement pass
-	nextSupervision time.Time            // earliest time of the next check of all runs
-	noMovesBefore   time.Time            // until then no long-running task is moved off a machine to be released
-	paused          bool                 // no task is started
-	leaseEnded      bool                 // the owner's lease is not valid, so there may be a successor
-	superseded      bool                 // a worker has seen the token of a later owner
-	nextWake        time.Time            // time that Wake returns
-	actions         []Action             // actions of the current call of Step
+	sortedWorkers   []*worker               // workers, sorted by ID
+	toRelease       map[string]bool         // machines that the fleet's owner wants free of work
+	releaseVersion  uint64                  // version of the fleet's row that toRelease comes from
+	upcomingRelease map[string]bool         // machines that must be released later
+	reserved        map[*worker]bool        // workers kept free for long-running tasks during this placement pass
+	formerWorkers   map[string]formerWorker // workers that the former owner may have used, by ID
+	shortfall       int                     // thousandths of a core that waiting tasks lack
+	storedLoad      int                     // load in the last load row written, in thousandths of a core
+	needsPlacement  bool                    // something that placement depends on has changed
+	waitingSteps    int                     // number of candidates in the last placement pass
+	unplacedSteps   int                     // number of those of which the pass left tasks waiting
+	candidateBuffer []candidate             // reused by the placement passes
+	nextPlacement   time.Time               // earliest time of the next placement pass
+	nextSupervision time.Time               // earliest time of the next check of all runs
+	noMovesBefore   time.Time               // until then no long-running task is moved off a machine to be released
+	paused          bool                    // no task is started
+	leaseEnded      bool                    // the owner's lease is not valid, so there may be a successor
+	superseded      bool                    // a worker has seen the token of a later owner
+	nextWake        time.Time               // time that Wake returns
+	actions         []Action                // actions of the current call of Step
+}
+
+// formerWorker is a worker that may run something that the former owner started.
+type formerWorker struct {
+	machine string
+	born    int64     // Unix ms of its start; 0: unknown
+	expiry  time.Time // when its lease must have expired
 }
 
 // EngagedWorker names a worker that may have runs started by the pool's owner.
 type EngagedWorker struct {
 	ID   string `json:"id"`
 	Born int64  `json:"born"`
+	// Machine is the machine that the worker is a life of; "" if it is not known.
+	Machine string `json:"m,omitempty"`
 }
 
 // maxClockSkew is the largest relative amount by which a worker's clock may run
@@ -88,7 +97,7 @@
 	m := &Scheduler{
 		cfg: cfg, queues: map[string]workload.Queue{}, jobs: map[string]*job{},
 		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, workers: map[string]*worker{},
-		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]time.Time{},
+		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]formerWorker{},
 	}
 	if len(formerWorkers) > 0 {
 		// Stop orders of the former owner may still be in progress.
@@ -96,7 +105,7 @@
 	}
 	expiry := now.Add(maxLocalLease(cfg.FormerLease))
 	for _, e := range formerWorkers {
-		m.formerWorkers[e.ID] = expiry
+		m.formerWorkers[e.ID] = formerWorker{machine: e.Machine, born: e.Born, expiry: expiry}
 	}
 	return m
 }
@@ -182,7 +191,9 @@
 	case WorkersUpdated:
 		m.updateWorkers(now, e.Workers)
 	case ReleaseUpdated:
-		m.toRelease, m.upcomingRelease, m.releaseVersion, m.needsPlacement = e.Machines, e.Upcoming, e.Version, true
+		m.updateRelease(now, e)
+	case MachinesRestarted:
+		m.dropFormerWorkers(e)
 	case HoldAnswered:
 		m.handleHoldAnswer(now, e)
 	case StartAnswered:
@@ -383,16 +394,43 @@
 // something that this owner does not know of.
 func (m *Scheduler) takeoverComplete() bool { return len(m.formerWorkers) == 0 }
 
+// AwaitsFormerWorkers reports whether MachinesRestarted can end a wait.
+func (m *Scheduler) AwaitsFormerWorkers() bool { return !m.takeoverComplete() }
+
+// dropFormerWorkers stops waiting for workers whose machine has a later worker: a
+// worker is one life of its machine, and its runs ended with it.
+func (m *Scheduler) dropFormerWorkers(e MachinesRestarted) {
+	for id, former := range m.formerWorkers {
+		if former.born != 0 && e.Born[former.machine] > former.born {
+			delete(m.formerWorkers, id)
+			m.needsPlacement = true
+		}
+	}
+}
+
+// updateRelease replaces the machines that are to be released. A worker whose
+// machine was released and no longer is has to answer again, because its machine may
+// have been moved, and its registration may outlive it by some seconds. Otherwise
+// the load row would name it, and a successor would wait for it.
+func (m *Scheduler) updateRelease(now time.Time, e ReleaseUpdated) {
+	for _, w := range m.sortedWorkers {
+		if m.toRelease[w.Machine] && !e.Machines[w.Machine] && len(w.runs) == 0 {
+			w.synced, w.nextHold = false, now
+		}
+	}
+	m.toRelease, m.upcomingRelease, m.releaseVersion, m.needsPlacement = e.Machines, e.Upcoming, e.Version, true
+}
+
 // expireLeases drops the runs of workers whose lease must have expired by their
 // own clock, and stops waiting for workers of the former owner once their
 // leases have expired.
 func (m *Scheduler) expireLeases(now time.Time) {
-	for id, at := range m.formerWorkers {
+	for id, former := range m.formerWorkers {
 		if m.leaseEnded {
 			break // a successor may have extended them
 		}
-		if now.Before(at) {
-			m.wakeAt(at)
+		if now.Before(former.expiry) {
+			m.wakeAt(former.expiry)
 			continue
 		}
 		delete(m.formerWorkers, id)
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -365,13 +365,13 @@
 		w.releaseReported = m.isReleased(w)
 		w.inLoadRow = w.inLoadRow && w.belongsInLoadRow(m)
 		if w.belongsInLoadRow(m) {
-			b.Engaged = append(b.Engaged, EngagedWorker{ID: w.ID, Born: w.Born})
+			b.Engaged = append(b.Engaged, EngagedWorker{ID: w.ID, Born: w.Born, Machine: w.Machine})
 			b.inLoadRow[w.ID] = w.Born
 		}
 	}
-	for id := range m.formerWorkers {
+	for id, former := range m.formerWorkers {
 		if _, ok := b.inLoadRow[id]; !ok {
-			b.Engaged = append(b.Engaged, EngagedWorker{ID: id})
+			b.Engaged = append(b.Engaged, EngagedWorker{ID: id, Born: former.born, Machine: former.machine})
 		}
 	}
 }
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -41,7 +41,7 @@
 	progress := r.m.jobs["j1"].progress()
 
 	job.Progress, job.Recovered = &progress, true
-	next := r.takeOver(2, []EngagedWorker{{ID: "a", Born: 1}}, job)
+	next := r.takeOver(2, []EngagedWorker{{ID: "a", Born: 1, Machine: "m-a"}}, job)
 	next.advance(time.Second)
 	require.Empty(t, next.starts)
 	next.workers["a"].endRun(workload.TaskID{Job: "j1"}, 1, EndDone)
@@ -189,7 +189,7 @@
 func TestAdoptedRunOfSilentWorkerExpires(t *testing.T) {
 	a := newWorker("a")
 	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
-	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, newWorker("b"))
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1, Machine: "m-a"}}, newWorker("b"))
 	a.startedAt = r.now.Add(-time.Minute)
 	r.workers["a"] = a
 	job := testJob("j1", simpleStep(1))
@@ -214,7 +214,7 @@
 	w.Born++
 	r.m.Step(r.now, 0, r.registrations())
 	require.Len(t, r.m.workers["a"].runs, 1)
-	require.Equal(t, []EngagedWorker{{ID: "a", Born: 2}}, r.m.Collect(1, true).Engaged)
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 2, Machine: "m-a"}}, r.m.Collect(1, true).Engaged)
 }
 
 // A draining worker was left out of the load row while the end of its last run was
@@ -229,7 +229,7 @@
 	r.m.Step(r.now, 0, r.registrations(), r.answerHold(Hold{Target: Target{Incarnation: w.Incarnation}}))
 	require.Empty(t, r.m.workers["a"].runs)
 	b := r.m.Collect(0, true) // has no room for the job
-	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1}}, b.Engaged)
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1, Machine: "m-a"}}, b.Engaged)
 	r.m.Step(r.now, 0, Stored{Batch: b, OK: true})
 	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(1, true), OK: true})
 	require.Empty(t, r.m.Collect(1, true).Engaged)
@@ -306,3 +306,41 @@
 	require.NotEmpty(t, r.stops)
 	require.Empty(t, a.running)
 }
+
+// Recovered jobs waited up to 11 s for a worker of the former owner whose machine had
+// been moved, so that it could neither answer nor run anything.
+func TestNewOwnerDoesNotWaitForWorkerOfRestartedMachine(t *testing.T) {
+	r := newHarness(t, 2, []EngagedWorker{{ID: "gone", Born: 5, Machine: "m-gone"}}, newWorker("a"))
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.step(job)
+	r.advance(time.Second)
+	require.Empty(t, r.starts, "the worker may still run the task")
+	r.step(MachinesRestarted{Born: map[string]int64{"m-gone": 5, "m-a": 7}})
+	require.Empty(t, r.starts, "the worker is the newest on its machine")
+	r.step(MachinesRestarted{Born: map[string]int64{"m-gone": 6}})
+	r.advance(100 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+}
+
+// A worker whose machine had been moved returned to the load row while its
+// registration outlived it, and the next owner waited for it.
+func TestMovedWorkerDoesNotReturnToTheLoadRow(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
+	engaged := func() (ids []string) {
+		for _, e := range r.m.Collect(10, true).Engaged {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+	require.Equal(t, []string{"a", "b"}, engaged())
+	r.step(ReleaseUpdated{Machines: map[string]bool{"m-a": true}, Version: 1})
+	require.Equal(t, []string{"b"}, engaged())
+	r.workers["a"].silent = true
+	r.step(ReleaseUpdated{Version: 2})
+	r.advance(time.Second)
+	require.Equal(t, []string{"b"}, engaged())
+	r.workers["a"].silent = false // the release was withdrawn without a move
+	r.advance(time.Second)
+	require.Equal(t, []string{"a", "b"}, engaged())
+}
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -221,16 +221,26 @@
 		return
 	}
 	p.engine = engine.New(d.now(), engine.Config{
-		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.Bounds.MaxLease + leaseOverrun,
+		Pool: p.Name, Token: p.Control.Token, Lease: d.Bounds.MaxLease, FormerLease: d.formerLease(p),
 		KillGrace: d.Bounds.KillGrace,
 	}, result.load.Engaged)
 	p.addEvent(engine.QueuesUpdated{Queues: p.configuration.Queues})
 	jobs := d.addJobEvents(p, result)
-	p.addEvent(engine.WorkersUpdated{Workers: d.registry.workersOf(p.Name)})
+	d.addWorkersEvents(p)
 	p.addEvent(d.releaseEvent())
 	d.Log.Info("pool is active", "pool", p.Name, "jobs", jobs, "former_workers", len(result.load.Engaged))
 }
 
+// formerLease returns how long after the takeover the leases of the former owner's
+// runs may end. An earlier process of this VM, or an earlier term of this one, grants
+// none after the takeover; another owner may not know of it yet.
+func (d *Duty) formerLease(p *pool) time.Duration {
+	if p.FormerControl.Holder == d.Self {
+		return d.Bounds.MaxLease
+	}
+	return d.Bounds.MaxLease + leaseOverrun
+}
+
 // addJobEvents queues events for the jobs that were read and for the changes that
 // arrived meanwhile. It returns the number of jobs that were read.
 func (d *Duty) addJobEvents(p *pool, result jobsRead) int {
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -74,12 +74,39 @@
 	}
 	if d.updateRegistrations(now, delta) {
 		for _, name := range d.names {
-			d.pools[name].addEvent(engine.WorkersUpdated{Workers: d.registry.workersOf(name)})
+			d.addWorkersEvents(d.pools[name])
 		}
 		d.closeClients()
 	}
 }
 
+// addWorkersEvents queues events with the registered workers for the pool's engine.
+func (d *Duty) addWorkersEvents(p *pool) {
+	if p.engine == nil {
+		return
+	}
+	p.addEvent(engine.WorkersUpdated{Workers: d.registry.workersOf(p.Name)})
+	if p.engine.AwaitsFormerWorkers() {
+		p.addEvent(engine.MachinesRestarted{Born: d.registry.newestOnMachines(p.configuration)})
+	}
+}
+
+// newestOnMachines returns by machine the start of the newest worker that is
+// registered on it in one of the configured pools.
+func (r *registry) newestOnMachines(c *workload.Configuration) map[string]int64 {
+	configured := map[string]bool{}
+	for _, p := range c.Pools {
+		configured[p.Name] = true
+	}
+	newest := make(map[string]int64, len(r.workers))
+	for _, w := range r.workers {
+		if w.Machine != "" && configured[w.Pool] {
+			newest[w.Machine] = max(newest[w.Machine], w.Born)
+		}
+	}
+	return newest
+}
+
 // handleWorkDelta applies changes of the work table.
 func (d *Duty) handleWorkDelta(delta follow.Delta) {
 	if delta.Failed {
