--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -341,12 +341,13 @@
 // lastCollectedEnd returns the number up to which the changes that the worker's
 // ends made are in the store or in the batch that is being collected.
 func (w *worker) lastCollectedEnd() int {
+	last := w.lastEndSettled()
 	for _, e := range w.unstoredEnds {
 		if e.job.dirty {
-			return e.number - 1
+			last = min(last, e.number-1)
 		}
 	}
-	return w.lastEndProcessed
+	return last
 }
 
 // markEndsStored records that the worker's ends up to n are in the store.
@@ -364,13 +365,13 @@
 		w.releaseReported = m.isReleased(w)
 		w.inLoadRow = w.inLoadRow && w.belongsInLoadRow(m)
 		if w.belongsInLoadRow(m) {
-			b.Engaged = append(b.Engaged, EngagedWorker{ID: w.ID, Born: w.Born})
+			b.Engaged = append(b.Engaged, EngagedWorker{ID: w.ID, Born: w.Born, Machine: w.Machine})
 			b.inLoadRow[w.ID] = w.Born
 		}
 	}
-	for id := range m.formerWorkers {
+	for id, former := range m.formerWorkers {
 		if _, ok := b.inLoadRow[id]; !ok {
-			b.Engaged = append(b.Engaged, EngagedWorker{ID: id})
+			b.Engaged = append(b.Engaged, EngagedWorker{ID: id, Born: former.born, Machine: former.machine})
 		}
 	}
 }
@@ -423,7 +424,7 @@
 // isReleased reports whether a machine that is to be released has nothing
 // running, gets no starts, and has no ends left to be stored.
 func (m *Scheduler) isReleased(w *worker) bool {
-	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && len(w.runs) == 0 && w.lastEndProcessed <= w.lastEndStored
+	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && len(w.runs)+len(w.unknownRuns) == 0 && w.lastEndProcessed <= w.lastEndStored
 }
 
 // widestSpread returns the number of machines that the open long-running step
