placement: avoid a worker that refused a job for a second only

Suspected as the cause of one failed run of TestOverlappingHolders ("job j11: want done", not done after a minute; no trace of that run exists): a job that a worker does not accept avoids it for InitialQuarantine (1 min), as after a failure, and each further refusal extends the time for all workers that it avoids. With holders that overlap, each of four workers can refuse a job once for lack of room; then the job waits a minute beside free workers. The target for the start of an urgent job is 1.7 s.

Change: each avoided worker has its own time, 1 s after a refusal and InitialQuarantine after a failure as before, and the end of that time makes the scheduler look at the job's queue again instead of at the next refresh (10 s).

TestJobRefusedByAllWorkersIsPlacedAgain failed before: nothing was started at 1.7 s. It also checks that the worker on which the job failed is still avoided.

--- a/placement/adopt.go
+++ b/placement/adopt.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -84,7 +85,7 @@
 
 // Requeue queues a job again that its worker did not accept. This counts neither
 // as a failed run of the job nor as a failure of the worker. The job avoids the
-// worker for Options.InitialQuarantine. Requeue returns false if the token is
+// worker for refusalAvoidance. Requeue returns false if the token is
 // not that of the current run.
 func (s *Scheduler) Requeue(id string, token uint64, now time.Time) bool {
 	j := s.jobs[id]
@@ -97,7 +98,31 @@
 		delete(s.jobs, id)
 		return true
 	}
-	j.avoidWorkers, j.avoidUntil = append(j.avoidWorkers, w), now.Add(s.opt.InitialQuarantine)
+	s.avoid(j, w, now.Add(refusalAvoidance))
 	s.enqueue(j)
 	return true
 }
+
+// refusalAvoidance is how long a job avoids a worker that did not accept it. A
+// worker that lacks room now may have it soon; with a longer time, a job that
+// every worker has refused once waits although there is room.
+const refusalAvoidance = time.Second
+
+// avoidance is a worker that a job does not use until a time.
+type avoidance struct {
+	worker *worker
+	until  time.Time
+}
+
+// avoid makes a job avoid a worker.
+func (s *Scheduler) avoid(j *job, w *worker, until time.Time) {
+	j.avoidWorkers = append(j.avoidWorkers, avoidance{w, until})
+	heap.Push(&s.timers, timer{at: until, job: j, token: j.token})
+}
+
+// endAvoidances makes a waiting job try the workers again whose avoidance is over.
+func (j *job) endAvoidances(now time.Time) {
+	before := len(j.avoidWorkers)
+	j.avoidWorkers = slices.DeleteFunc(j.avoidWorkers, func(a avoidance) bool { return !a.until.After(now) })
+	j.queue.changed = j.queue.changed || len(j.avoidWorkers) < before
+}
--- a/placement/index.go
+++ b/placement/index.go
@@ -23,7 +23,7 @@
 		return false
 	}
 	for _, avoid := range j.avoidWorkers {
-		if avoid == w {
+		if avoid.worker == w {
 			return false
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -165,6 +165,26 @@
 	require.Zero(t, s.Waiting()+s.Running())
 }
 
+// A job that every worker has refused once for lack of room must be placed again
+// within the target of 1.7 s, instead of waiting for as long as after a failure.
+// A worker on which it failed is avoided for longer.
+func TestJobRefusedByAllWorkersIsPlacedAgain(t *testing.T) {
+	s := newFleet(Options{MaxAttempts: 9}, 3)
+	require.NoError(t, s.Submit(urgentJob("a", 8), t0))
+	first := s.Place(t0, 1)[0]
+	require.NoError(t, s.Report(Report{Kind: ReportFailed, Job: "a", Token: first.Token}, t0))
+	for range 2 {
+		c := s.Place(t0, 1)
+		require.Len(t, c, 1)
+		require.NotEqual(t, first.Worker, c[0].Worker)
+		require.True(t, s.Requeue("a", c[0].Token, t0))
+	}
+	require.Empty(t, s.Place(t0, 1))
+	again := s.Place(at(1700*time.Millisecond), 1)
+	require.Equal(t, []string{"start a"}, commandSummaries(again))
+	require.NotEqual(t, first.Worker, again[0].Worker)
+}
+
 // Cancelling many jobs must end waiting ones at once, stop running ones and never
 // start a cancelled job.
 func TestCancelManyJobs(t *testing.T) {
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -71,7 +71,7 @@
 // allowedOn reports whether the worker is not one that the job avoids.
 func allowedOn(j *job, w *worker) bool {
 	for _, avoid := range j.avoidWorkers {
-		if avoid == w {
+		if avoid.worker == w {
 			return false
 		}
 	}
--- a/placement/report.go
+++ b/placement/report.go
@@ -117,8 +117,7 @@
 			Reason: fmt.Sprintf("%s; %d of %d attempts used", reason, j.failedRuns, j.MaxAttempts)})
 		return
 	}
-	j.avoidWorkers = append(j.avoidWorkers, w)
-	j.avoidUntil = now.Add(s.opt.InitialQuarantine)
+	s.avoid(j, w, now.Add(s.opt.InitialQuarantine))
 	s.enqueue(j)
 }
 
@@ -206,7 +205,8 @@
 	}
 }
 
-// timer fires at the end of a lease, or of a quarantine if worker is set.
+// timer fires at the end of a lease or of an avoidance, or of a quarantine if
+// worker is set.
 type timer struct {
 	at     time.Time
 	job    *job
@@ -228,7 +228,7 @@
 	return x
 }
 
-// fireTimers handles leases and quarantines that have ended. A renewal does not
+// fireTimers handles leases, avoidances and quarantines that have ended. A renewal does not
 // touch the timer of its lease; the timer is set again when it fires early.
 func (s *Scheduler) fireTimers(now time.Time) {
 	for len(s.timers) > 0 && !s.timers[0].at.After(now) {
@@ -236,7 +236,9 @@
 		switch {
 		case t.worker != nil:
 			s.endQuarantine(t.worker)
-		case t.job.worker == nil || t.job.token != t.token:
+		case t.job.worker == nil:
+			t.job.endAvoidances(now)
+		case t.job.token != t.token:
 		case t.job.expires.After(now):
 			heap.Push(&s.timers, timer{at: t.job.expires, job: t.job, token: t.token})
 		default:
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -20,8 +20,7 @@
 	queueGeneration int
 	failedRuns      int // runs that failed or whose lease expired
 	preemptions     int
-	avoidWorkers    []*worker // workers that the job does not use until avoidUntil
-	avoidUntil      time.Time
+	avoidWorkers    []avoidance
 	progress        time.Duration
 	rankedGroups    []*workerGroup // cached result of Scheduler.rankedGroups
 	rankedAt        time.Time      // refreshedAt of the cached result
@@ -284,9 +283,7 @@
 	}
 	// Workers are avoided for a limited time: a job that fits only a few would
 	// otherwise run out of them.
-	if !j.avoidUntil.After(s.refreshedAt) {
-		j.avoidWorkers = nil
-	}
+	j.endAvoidances(s.refreshedAt)
 	need := s.corrections.Size(&j.Job)
 	if s.opt.ReserveDeclaredSize {
 		need = need.componentMax(j.Size)
