engine: let finite best-effort tasks start on workers whose CPU is taken

Since the check of sizes was applied to steps with constraints, a best-effort step that is not long-running was passed over once a step of its declared size had found no room, although it needs no free CPU. Best-effort steps are excluded from the check again, as they were before.

TestFiniteBestEffortStepNeedsNoFreeCPU failed with that change in 3 of 3 runs and passes now.

--- a/engine/index_test.go
+++ b/engine/index_test.go
@@ -157,3 +157,20 @@
 	}
 	require.Len(t, r.starts, 4, "the limited step must start once there is room")
 }
+
+// A best-effort task that is not long-running waited for CPU that it does not need,
+// since steps of its declared size had found no room.
+func TestFiniteBestEffortStepNeedsNoFreeCPU(t *testing.T) {
+	w := newWorker("a")
+	w.Capacity.MilliCores = simpleStep(1).Size.MilliCores
+	r := newHarness(t, 1, nil, w)
+	r.step(testJob("0000000000000001", simpleStep(2)))
+	require.Len(t, r.starts, 1)
+	filling := simpleStep(1)
+	filling.BestEffort = true
+	filling.Estimate = 10 * time.Second // more work than the first job, so that it comes later
+	e := testJob("0000000000000002", filling)
+	r.step(e)
+	r.advance(100 * time.Millisecond)
+	require.Contains(t, startedTasks(r), workload.TaskID{Job: e.Submission.ID})
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -67,7 +67,7 @@
 		}
 		unconstrained := s.spec.MaxPerWorker == 0 && s.spec.Label == "" && s.occ.job.queue.Policy == nil && !s.spec.BestEffort
 		// Constraints only reduce the workers that a step may use.
-		needsRoom := unconstrained || s.occ.job.queue.Policy == nil && !s.spec.LongRunning
+		needsRoom := unconstrained || s.occ.job.queue.Policy == nil && !s.spec.LongRunning && !s.spec.BestEffort
 		if needsRoom && slices.ContainsFunc(unplaceable, func(r placement.Size) bool { return r.Fits(s.spec.Size) }) {
 			m.addShortfall(now, c)
 			m.unplacedSteps++
