engine: wait for a former worker that restarted under its ID

Callers can see: after a takeover, a task runs twice.

Cause: a new owner stops waiting for a worker of the former owner when a later worker is registered on its machine. A worker that restarts under its ID is registered so too, but orders name a worker by its ID, so a start of the former owner may have been carried out by the later life. The new owner started the task elsewhere before that worker had answered.

Change: the event names the later worker, and one with the same ID is no proof. Such a worker is waited for until it answers or its lease must have expired.

Evidence: the simulation of owners now passes the event as node/pools does. TestNewOwnerWaitsForWorkerThatRestartedUnderItsID failed before (j1.0.0.0 was started at a while it ran at b).

--- a/engine/event.go
+++ b/engine/event.go
@@ -28,9 +28,11 @@
 // WorkersUpdated carries all workers that are registered in the pool.
 type WorkersUpdated struct{ Workers []workload.Worker }
 
-// MachinesRestarted carries by machine the start (Unix ms) of the newest worker that
-// is registered on it in any pool.
-type MachinesRestarted struct{ Born map[string]int64 }
+// MachinesRestarted carries by machine the newest worker that is registered on it in
+// any pool.
+type MachinesRestarted struct {
+	Newest map[string]workload.Incarnation
+}
 
 // ReleaseUpdated carries the machines that the fleet's owner wants free of work,
 // according to the given version of its row.
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -399,10 +399,11 @@
 func (m *Scheduler) AwaitsFormerWorkers() bool { return !m.takeoverComplete() }
 
 // dropFormerWorkers stops waiting for workers whose machine has a later worker: a
-// worker is one life of its machine, and its runs ended with it.
+// worker is one life of its machine, and its runs ended with it. If the later one has
+// the same ID, it may have carried out a start that was meant for the former.
 func (m *Scheduler) dropFormerWorkers(e MachinesRestarted) {
 	for id, former := range m.formerWorkers {
-		if former.born != 0 && e.Born[former.machine] > former.born {
+		if newest := e.Newest[former.machine]; former.born != 0 && newest.Born > former.born && newest.ID != id {
 			delete(m.formerWorkers, id)
 			m.needsPlacement = true
 		}
--- a/engine/simowner_test.go
+++ b/engine/simowner_test.go
@@ -194,10 +194,13 @@
 
 func (o *simOwner) workersChanged() {
 	var e WorkersUpdated
+	newest := map[string]workload.Incarnation{}
 	for _, id := range slices.Sorted(maps.Keys(o.p.world.store.registered)) {
-		e.Workers = append(e.Workers, o.p.world.store.registered[id])
+		w := o.p.world.store.registered[id]
+		e.Workers = append(e.Workers, w)
+		newest[w.Machine] = w.Incarnation
 	}
-	o.events = append(o.events, e)
+	o.events = append(o.events, e, MachinesRestarted{Newest: newest})
 }
 
 // feed delivers changes of the work table and the registrations to the owners.
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -316,13 +316,32 @@
 	r.step(job)
 	r.advance(time.Second)
 	require.Empty(t, r.starts, "the worker may still run the task")
-	r.step(MachinesRestarted{Born: map[string]int64{"m-gone": 5, "m-a": 7}})
+	r.step(MachinesRestarted{Newest: map[string]workload.Incarnation{"m-gone": {ID: "gone", Born: 5}, "m-a": {ID: "a", Born: 7}}})
 	require.Empty(t, r.starts, "the worker is the newest on its machine")
-	r.step(MachinesRestarted{Born: map[string]int64{"m-gone": 6}})
+	r.step(MachinesRestarted{Newest: map[string]workload.Incarnation{"m-gone": {ID: "later", Born: 6}}})
 	r.advance(100 * time.Millisecond)
 	require.Len(t, r.starts, 1)
 }
 
+// A new owner took a worker that had restarted under its ID as proof that nothing of
+// the former owner ran there, and started a task again that a late start had begun.
+func TestNewOwnerWaitsForWorkerThatRestartedUnderItsID(t *testing.T) {
+	b := newWorker("b")
+	b.Born = 6
+	b.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	b.silent = true
+	r := newHarness(t, 2, []EngagedWorker{{ID: "b", Born: 5, Machine: "m-b"}}, newWorker("a"), b)
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.step(job, MachinesRestarted{Newest: map[string]workload.Incarnation{"m-b": b.Incarnation}})
+	r.advance(time.Second)
+	require.Empty(t, r.starts, "the task runs at b")
+	b.silent = false
+	r.advance(time.Second)
+	require.Empty(t, r.starts)
+	require.Len(t, r.m.workers["b"].runs, 1)
+}
+
 // A worker whose machine had been moved returned to the load row while its
 // registration outlived it, and the next owner waited for it.
 func TestMovedWorkerDoesNotReturnToTheLoadRow(t *testing.T) {
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -87,21 +87,21 @@
 	}
 	p.addEvent(engine.WorkersUpdated{Workers: d.registry.workersOf(p.Name)})
 	if p.engine.AwaitsFormerWorkers() {
-		p.addEvent(engine.MachinesRestarted{Born: d.registry.newestOnMachines(p.configuration)})
+		p.addEvent(engine.MachinesRestarted{Newest: d.registry.newestOnMachines(p.configuration)})
 	}
 }
 
-// newestOnMachines returns by machine the start of the newest worker that is
-// registered on it in one of the configured pools.
-func (r *registry) newestOnMachines(c *workload.Configuration) map[string]int64 {
+// newestOnMachines returns by machine the newest worker that is registered on it in
+// one of the configured pools.
+func (r *registry) newestOnMachines(c *workload.Configuration) map[string]workload.Incarnation {
 	configured := map[string]bool{}
 	for _, p := range c.Pools {
 		configured[p.Name] = true
 	}
-	newest := make(map[string]int64, len(r.workers))
+	newest := make(map[string]workload.Incarnation, len(r.workers))
 	for _, w := range r.workers {
-		if w.Machine != "" && configured[w.Pool] {
-			newest[w.Machine] = max(newest[w.Machine], w.Born)
+		if w.Machine != "" && configured[w.Pool] && w.Born > newest[w.Machine].Born {
+			newest[w.Machine] = w.Incarnation
 		}
 	}
 	return newest
