engine: keep a cancellation that arrives while its job is looked up

Callers can see: after a takeover while routes are added, a cancelled job goes on.

Cause: the cancellation of a job that the engine does not know is dropped, because the reading of jobs includes their cancellations. The lookup of a single job reads its two rows once; a cancellation that is stored after that and arrives through the feed before the result was dropped.

Change: the cancellation of a job that is being looked up is kept and applied when the job has been found.

Evidence: TestCancellationOfJobThatIsLookedUpIsKept failed before (j1.0.0.1 was started) and passes now.

--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -40,6 +40,7 @@
 	ended           map[string]workload.JobState // final states of jobs that are not in jobs any more
 	absentJobs      map[string]bool              // jobs that a worker reported and that do not exist
 	jobsToFind      map[string]bool              // unknown jobs that a worker reported
+	cancelledToFind map[string]bool              // those of jobsToFind of which a cancellation has arrived
 	searching       bool                         // FindJobs has no result yet
 	nextSearch      time.Time                    // earliest time of the next search
 	workers         map[string]*worker
@@ -97,7 +98,7 @@
 func New(now time.Time, cfg Config, formerWorkers []EngagedWorker) *Scheduler {
 	m := &Scheduler{
 		cfg: cfg, queues: map[string]workload.Queue{}, jobs: map[string]*job{},
-		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, workers: map[string]*worker{},
+		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, cancelledToFind: map[string]bool{}, workers: map[string]*worker{},
 		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]formerWorker{},
 	}
 	if len(formerWorkers) > 0 {
@@ -252,10 +253,17 @@
 	m.unopened = append(m.unopened, j)
 	m.toClose = append(m.toClose, j)
 	m.needsPlacement = true
+	if m.cancelledToFind[id] {
+		delete(m.cancelledToFind, id)
+		m.cancelJob(id)
+	}
 }
 
 func (m *Scheduler) cancelJob(id string) {
 	j, ok := m.jobs[id]
+	if !ok && m.jobsToFind[id] {
+		m.cancelledToFind[id] = true // the search may have read the job before
+	}
 	if !ok || j.state.Ended() {
 		return
 	}
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -363,3 +363,25 @@
 	r.advance(time.Second)
 	require.Equal(t, []string{"a", "b"}, engaged())
 }
+
+// A cancellation that arrived while its job was being looked up was dropped, and the
+// job went on after it had been found.
+func TestCancellationOfJobThatIsLookedUpIsKept(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(100 * time.Millisecond)
+	require.Equal(t, []string{"j1"}, r.search)
+	r.step(CancelRequested{Job: "j1"})
+	job := testJob("j1", simpleStep(2))
+	job.Recovered = true
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	r.advance(time.Second)
+	require.Empty(t, r.starts)
+	require.Empty(t, a.running)
+	require.Equal(t, workload.Cancelled, r.m.ended["j1"])
+}
--- a/engine/unknown.go
+++ b/engine/unknown.go
@@ -52,6 +52,7 @@
 			m.emit(Decision{What: "job-absent", Job: id, Why: "a worker reports it, but it was never submitted to the pool"})
 		}
 		delete(m.jobsToFind, id)
+		delete(m.cancelledToFind, id)
 	}
 }
 
