holder: count the lease from the claim that took effect

Cause: a claim without an answer is repeated after 600 ms. If the process has not seen the row of the first claim by then, the repetition has the same token, and its conflict shows that the first claim took effect. The lease was counted from the repetition, while other processes count from when they saw the row, so two processes could hold valid leases for up to half a second if the next renewal failed too.

Change: the lease counts from when the first claim with the token was sent, as it does for renewals.

Evidence: TestLeaseCountsFromTheClaimThatTookEffect failed before (the lease was still valid 1 s after the first claim) and passes now.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -89,6 +89,8 @@
 	slow         bool      // the last answer took longer than slowWriteThreshold, or several are missing
 	unanswered   int       // number of writes without an answer since the last answer
 	failures     int       // number of failed writes since the last that succeeded
+	claimToken   uint64    // token of the last claim
+	claimSent    time.Time // when the first claim with that token was sent
 	renewal      uint64    // number of the last renewal that was sent
 	renewalSent  time.Time // when the first write with that number was sent
 }
@@ -242,6 +244,9 @@
 	w := Write{Control: row.Control, requested: now, timeout: h.nextTimeout(), claim: true, renews: true}
 	w.Control.Share = h.cpuShare
 	w.Control.SetLease(lease.Takeover(row.Record(), h.self, h.nextDuration()))
+	if h.claimToken != w.Control.Token {
+		h.claimToken, h.claimSent = w.Control.Token, now
+	}
 	op := store.Op{Kind: store.OpInsert, Key: store.KeyControl(h.Name)}
 	if exists {
 		op.Kind, op.Expect = store.OpUpdate, row.Version
@@ -403,6 +408,7 @@
 			h.Drop(now)
 			return ClaimFailed
 		}
+		r.write.requested = h.claimSent // an earlier claim with this token took effect
 		r.write.Control, r.version, r.orderVersion = current.control, current.version, current.orderVersion
 	}
 	h.log.Info("lease is held", "lease", h.Name, "token", r.write.Control.Token, "version", r.version)
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -276,3 +276,23 @@
 	require.False(t, h.Valid(sent.Add(leaseDuration)), "the lease counts from the write that took effect")
 	require.False(t, h.RenewAt(0).After(retry), "the next renewal does not wait")
 }
+
+// Guards against a lease that counts from the repetition of a claim although the
+// first claim took effect, from which other processes count.
+func TestLeaseCountsFromTheClaimThatTookEffect(t *testing.T) {
+	tab := newTable()
+	require.Equal(t, Acquired, claimLease(t, New("p", "b", 1, hclog.NewNullLogger()), tab, start, 0))
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	now := start.Add(10 * time.Second)
+	v := tab.view(now, 2*leaseDuration)
+	require.True(t, h.ClaimDue(now, v, 0))
+	w := h.Claim(now, v)
+	tab.loseAnswers = true
+	require.Equal(t, ClaimFailed, h.HandleResult(now.Add(w.timeout), Commit(context.Background(), tab, w)))
+	tab.loseAnswers = false
+	again := now.Add(w.timeout + claimRetryDelay)
+	require.True(t, h.ClaimDue(again, v, 0), "the view does not show the first claim yet")
+	require.Equal(t, Acquired, h.HandleResult(again, Commit(context.Background(), tab, h.Claim(again, v))))
+	require.True(t, h.Valid(again))
+	require.False(t, h.Valid(now.Add(leaseDuration)), "others may claim the lease")
+}
