holder: don't shorten the lease after a missing answer

Cause: since a conflict that shows an own renewal counts the lease from when the renewal was first sent. If the first write had no effect and its repetition was answered, the lease counted from the repetition until the next missing answer, and then from the first write again, at least 333 ms earlier.

Change: an answered renewal counts from the write that was answered in both cases.

Evidence: TestMissingAnswerDoesNotShortenTheLease failed before (not valid 750 ms after the repetition) and passes now.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -355,7 +355,7 @@
 		if !r.write.renews {
 			return Stored
 		}
-		h.Control, h.version = r.write.Control, r.version
+		h.Control, h.version, h.renewalSent = r.write.Control, r.version, r.write.requested
 		h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 		if r.write.Control.Holder == "" {
 			h.log.Info("lease is released", "lease", h.Name)
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -296,3 +296,24 @@
 	require.True(t, h.Valid(again))
 	require.False(t, h.Valid(now.Add(leaseDuration)), "others may claim the lease")
 }
+
+// A renewal that took effect when it was repeated was counted from its first write
+// after the next missing answer, so that the lease seemed to end.
+func TestMissingAnswerDoesNotShortenTheLease(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	first := start.Add(1300 * time.Millisecond)
+	tab.unavailable = true
+	require.Equal(t, NotStored, h.HandleResult(first, Commit(context.Background(), tab, h.Renew(first, h.Control, false))))
+	tab.unavailable = false
+	repeated := first.Add(renewInterval)
+	require.Equal(t, Stored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Renew(repeated, h.Control, false))))
+	valid := repeated.Add(leaseDuration * 3 / 4)
+	require.True(t, h.Valid(valid))
+	tab.loseAnswers = true
+	require.Equal(t, NotStored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Append(repeated, nil))))
+	tab.loseAnswers = false
+	require.Equal(t, NotStored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Append(repeated, nil))))
+	require.True(t, h.Valid(valid))
+}
