holder: renew at once after a claim that took effect without an answer

Cause: such a lease counts from the first claim, of which 600 ms have passed when the repetition is answered. The next renewal was due 333 ms later, after the 875 ms for which the lease is valid.

Change: it is due at once. TestLeaseCountsFromTheClaimThatTookEffect checks it and failed before ("little of the lease is left").

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -414,6 +414,9 @@
 	h.log.Info("lease is held", "lease", h.Name, "token", r.write.Control.Token, "version", r.version)
 	h.State, h.Control, h.version, h.TakenVersion, h.TakenAt = Held, r.write.Control, r.version, r.version, now
 	h.lastWrite, h.lastRenewal, h.nextRetry, h.orderVersion = now, now, time.Time{}, r.orderVersion
+	if r.err != nil {
+		h.lastRenewal = time.Time{} // much of the lease has passed
+	}
 	h.renewal, h.renewalSent = r.write.Control.Record().Renewal, r.write.requested
 	h.lease = lease.Acquired(r.write.Control.Record(), r.write.requested)
 	return Acquired
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -295,6 +295,7 @@
 	require.Equal(t, Acquired, h.HandleResult(again, Commit(context.Background(), tab, h.Claim(again, v))))
 	require.True(t, h.Valid(again))
 	require.False(t, h.Valid(now.Add(leaseDuration)), "others may claim the lease")
+	require.False(t, h.RenewAt(0).After(again), "little of the lease is left")
 }
 
 // A renewal that took effect when it was repeated was counted from its first write
