--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -276,3 +276,45 @@
 	require.False(t, h.Valid(sent.Add(leaseDuration)), "the lease counts from the write that took effect")
 	require.False(t, h.RenewAt(0).After(retry), "the next renewal does not wait")
 }
+
+// Guards against a lease that counts from the repetition of a claim although the
+// first claim took effect, from which other processes count.
+func TestLeaseCountsFromTheClaimThatTookEffect(t *testing.T) {
+	tab := newTable()
+	require.Equal(t, Acquired, claimLease(t, New("p", "b", 1, hclog.NewNullLogger()), tab, start, 0))
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	now := start.Add(10 * time.Second)
+	v := tab.view(now, 2*leaseDuration)
+	require.True(t, h.ClaimDue(now, v, 0))
+	w := h.Claim(now, v)
+	tab.loseAnswers = true
+	require.Equal(t, ClaimFailed, h.HandleResult(now.Add(w.timeout), Commit(context.Background(), tab, w)))
+	tab.loseAnswers = false
+	again := now.Add(w.timeout + claimRetryDelay)
+	require.True(t, h.ClaimDue(again, v, 0), "the view does not show the first claim yet")
+	require.Equal(t, Acquired, h.HandleResult(again, Commit(context.Background(), tab, h.Claim(again, v))))
+	require.True(t, h.Valid(again))
+	require.False(t, h.Valid(now.Add(leaseDuration)), "others may claim the lease")
+	require.False(t, h.RenewAt(0).After(again), "little of the lease is left")
+}
+
+// A renewal that took effect when it was repeated was counted from its first write
+// after the next missing answer, so that the lease seemed to end.
+func TestMissingAnswerDoesNotShortenTheLease(t *testing.T) {
+	tab := newTable()
+	h := New("p", "a", 1, hclog.NewNullLogger())
+	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
+	first := start.Add(1300 * time.Millisecond)
+	tab.unavailable = true
+	require.Equal(t, NotStored, h.HandleResult(first, Commit(context.Background(), tab, h.Renew(first, h.Control, false))))
+	tab.unavailable = false
+	repeated := first.Add(renewInterval)
+	require.Equal(t, Stored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Renew(repeated, h.Control, false))))
+	valid := repeated.Add(leaseDuration * 3 / 4)
+	require.True(t, h.Valid(valid))
+	tab.loseAnswers = true
+	require.Equal(t, NotStored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Append(repeated, nil))))
+	tab.loseAnswers = false
+	require.Equal(t, NotStored, h.HandleResult(repeated, Commit(context.Background(), tab, h.Append(repeated, nil))))
+	require.True(t, h.Valid(valid))
+}
