engine: a run of an unread job ends with its worker

Cause: a reported run of a job that the owner had not read was adopted when the job was found, also if its worker had gone or lapsed meanwhile, or left the registrations. Its task would never have run again.

Change: such runs count as runs of the worker until its lease ends, and end with it. A search reads at most 50 jobs. A task that is started is no longer marked as lost after the lease.

Evidence: TestRunOfUnreadJobEndsWithItsWorker failed before and passes now.

--- a/engine/owners_test.go
+++ b/engine/owners_test.go
@@ -184,23 +184,25 @@
 }
 
 // Successive and overlapping owners of a pool ran a task twice, or again after its
-// end was acknowledged, or never. OWNER_DAYS sets the number of days,
-// OWNER_SEED plays one day with a trace.
+// end was acknowledged, or never. OWNER_DAYS sets the number of days, OWNER_FIRST
+// the first seed, and OWNER_SEED plays one day with a trace.
 func TestOwnersRunEachTaskOnce(t *testing.T) {
-	if text := os.Getenv("OWNER_SEED"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
+	number := func(name string, standard uint64) uint64 {
+		text, ok := os.LookupEnv(name)
+		if !ok {
+			return standard
+		}
+		n, err := strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err)
-		require.Empty(t, playOwners(seed, t.Logf))
-		return
+		return n
 	}
-	days := 100
-	if text := os.Getenv("OWNER_DAYS"); text != "" {
-		var err error
-		days, err = strconv.Atoi(text)
-		require.NoError(t, err)
+	if _, ok := os.LookupEnv("OWNER_SEED"); ok {
+		require.Empty(t, playOwners(number("OWNER_SEED", 0), t.Logf))
+		return
 	}
+	first, days := number("OWNER_FIRST", 0), number("OWNER_DAYS", 100)
 	failed := 0
-	for seed := range uint64(days) {
+	for seed := first; seed < first+days; seed++ {
 		if found := playOwners(seed, nil); len(found) > 0 {
 			failed++
 			t.Errorf("seed %d: %d findings, first: %s", seed, len(found), found[0])
--- a/engine/run.go
+++ b/engine/run.go
@@ -141,6 +141,7 @@
 }
 
 func (m *Scheduler) addRun(r *run) {
+	r.task.lostAfterLease = false
 	r.task.runs = append(r.task.runs, r)
 	r.worker.runs = append(r.worker.runs, r)
 	r.worker.used = r.worker.used.Plus(r.task.step.demand())
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -376,7 +376,7 @@
 		m.needsPlacement = true
 	}
 	for _, w := range m.sortedWorkers {
-		if len(w.runs) == 0 || w.leaseEnd.IsZero() {
+		if !w.hasRuns() || w.leaseEnd.IsZero() {
 			continue
 		}
 		if now.Before(w.leaseEnd) {
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -385,7 +385,7 @@
 // isReleased reports whether a machine that is to be released has nothing
 // running, gets no starts, and has no ends left to be stored.
 func (m *Scheduler) isReleased(w *worker) bool {
-	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && len(w.runs)+len(w.unknownRuns) == 0 && w.lastEndProcessed <= w.lastEndStored
+	return m.toRelease[w.Machine] && (w.synced || m.takeoverComplete()) && !w.hasRuns() && w.lastEndProcessed <= w.lastEndStored
 }
 
 // widestSpread returns the number of machines that the open long-running step
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -306,3 +306,25 @@
 	require.NotEmpty(t, r.stops)
 	require.Empty(t, a.running)
 }
+
+// Guards against a run of an unknown job that is adopted when the job is found,
+// although its worker has gone meanwhile, so that its task never runs again.
+func TestRunOfUnreadJobEndsWithItsWorker(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, newWorker("b"))
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(100 * time.Millisecond)
+	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1}, {ID: "b", Born: 1}}, r.m.Collect(1, true).Engaged)
+	a.silent = true
+	r.advance(testLease + time.Second)
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	r.advance(100 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	require.Equal(t, "b", r.starts[0].Incarnation.ID)
+}
--- a/engine/unknown.go
+++ b/engine/unknown.go
@@ -11,6 +11,10 @@
 // nor repeated, and such an end is not acknowledged, until the job has been found or
 // is known not to exist.
 
+// maxSearchedJobs limits the reads of one search, which takes one for each job and
+// queue.
+const maxSearchedJobs = 50
+
 // searchRetryDelay is the delay before the next search after one failed.
 const searchRetryDelay = 300 * time.Millisecond
 
@@ -37,7 +41,8 @@
 		return
 	}
 	m.searching = true
-	m.emit(FindJobs{IDs: slices.Sorted(maps.Keys(m.jobsToFind))})
+	ids := slices.Sorted(maps.Keys(m.jobsToFind))
+	m.emit(FindJobs{IDs: ids[:min(len(ids), maxSearchedJobs)]})
 }
 
 func (m *Scheduler) handleJobsSearched(now time.Time, e JobsSearched) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -92,13 +92,17 @@
 }
 
 // belongsInLoadRow reports whether the load row must name the worker because it
-// has runs or may get some, or because ends of its runs are not stored yet. The load row is the pool's row in the store with the
-// pool's status and these workers. A successor waits for the workers in the row,
-// so one that has no work and gets none must not stay in it.
+// has runs or may get some, or because ends of its runs are not stored yet. The
+// load row is the pool's row in the store with the pool's status and these workers.
+// A successor waits for the workers in the row, so one that has no work and gets
+// none must not stay in it.
 func (w *worker) belongsInLoadRow(m *Scheduler) bool {
-	return len(w.runs)+len(w.unknownRuns) > 0 || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
+	return w.hasRuns() || w.lastEndProcessed > w.lastEndStored || w.synced && w.registered && !w.gone && !w.Draining && !m.toRelease[w.Machine]
 }
 
+// hasRuns reports whether the worker may have runs, known ones or of unknown jobs.
+func (w *worker) hasRuns() bool { return len(w.runs)+len(w.unknownRuns) > 0 }
+
 func (w *worker) target() Target { return Target{Incarnation: w.Incarnation, Addr: w.Addr} }
 
 // estimateClock returns an estimate of the worker's clock in ms. It exceeds the
@@ -177,7 +181,7 @@
 func (m *Scheduler) removeGoneWorkers(now time.Time) {
 	removed := false
 	for _, w := range m.sortedWorkers {
-		if w.registered && !w.gone || len(w.runs) > 0 || w.holdPending || now.Before(w.leaseEnd) && !w.gone {
+		if w.registered && !w.gone || w.hasRuns() || w.holdPending || now.Before(w.leaseEnd) && !w.gone {
 			continue
 		}
 		if w.gone && w.registered {
@@ -195,7 +199,7 @@
 // in progress.
 func (m *Scheduler) sendDueHolds(now time.Time) {
 	for _, w := range m.sortedWorkers {
-		if w.holdPending || w.gone || !w.registered && len(w.runs) == 0 {
+		if w.holdPending || w.gone || !w.registered && !w.hasRuns() {
 			continue
 		}
 		due := w.nextHold
@@ -319,7 +323,7 @@
 	switch {
 	case first || m.needsPromptAnswer(w):
 		w.nextHold = now.Add(holdGap)
-	case len(w.runs) > 0 || w.lastEndProcessed > w.lastEndAcked:
+	case w.hasRuns() || w.lastEndProcessed > w.lastEndAcked:
 		w.nextHold = now.Add(holdGap + time.Duration(m.busyWorkers())*holdGapPerBusyWorker)
 	default:
 		w.nextHold = now.Add(idleHoldInterval)
@@ -355,6 +359,7 @@
 	for len(w.runs) > 0 {
 		m.giveUpRun(now, w.runs[0])
 	}
+	w.unknownRuns = nil
 	m.needsPlacement = true
 }
 
@@ -381,6 +386,7 @@
 			m.giveUpRun(now, r)
 		}
 	}
+	w.unknownRuns = nil
 	m.needsPlacement = true
 }
 
