--- a/engine/run.go
+++ b/engine/run.go
@@ -149,6 +149,7 @@
 	if r.task.isIdle() {
 		r.task.step.idleTasks--
 	}
+	r.task.lostAfterLease = false
 	r.task.runs = append(r.task.runs, r)
 	r.task.step.occ.begun = true
 	r.worker.runs = append(r.worker.runs, r)
