jobs: repeat a failed read of a row in the test of completions

TestOverlappingHolders failed in 1 of 45 runs beside load (30 to 60 on 8 cores): state "unread" instead of "done" of job j24.

Cause: a fault of the test. requireOneCompletion reads each row once; a read that ends with a timeout (2 s) was compared as if it were the job's state. All jobs had been seen as done just before.

Change: a read that fails is repeated for up to a minute, as waitForState does. The state that is read is compared as before.

--- a/daemon/controller/jobs/cluster_test.go
+++ b/daemon/controller/jobs/cluster_test.go
@@ -135,13 +135,24 @@
 	}, time.Minute, 10*time.Millisecond)
 }
 
+// stateUnread is the state of a job whose row could not be read.
+const stateUnread structs.JobState = "unread"
+
+// readJob returns a job as in its row. It repeats a read that fails.
+func (cluster *testCluster) readJob(id string) (j structs.Job) {
+	cluster.t.Helper()
+	require.Eventually(cluster.t, func() bool { j = cluster.job(id); return j.State != stateUnread }, time.Minute, 20*time.Millisecond,
+		"job %s could not be read", id)
+	return j
+}
+
 func (cluster *testCluster) job(id string) structs.Job {
 	row, err := cluster.table.Get(context.Background(), store.KeyJob(id))
 	if errors.Is(err, store.ErrNotFound) {
 		return structs.Job{}
 	}
 	if err != nil {
-		return structs.Job{State: "unread"}
+		return structs.Job{State: stateUnread}
 	}
 	j, err := rows.DecodeJob(row.Value, row.Version)
 	require.NoError(cluster.t, err)
--- a/daemon/controller/jobs/failure_test.go
+++ b/daemon/controller/jobs/failure_test.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for _, id := range ids {
-		j := cluster.job(id)
+		j := cluster.readJob(id)
 		require.Equal(cluster.t, structs.JobDone, j.State, id)
 		require.True(cluster.t, done[id][j.Token], "job %s is done under token %d, but the completed runs have tokens %v", id, j.Token, done[id])
 		require.Len(cluster.t, done[id], 1, "runs of job %s that were completed", id)
