systemtest: run long-running jobs and overlapping occurrences in the fault soak

Change: an eighth of the jobs are long-running, of which a caller keeps at most two, cancels the others and expects the kept ones to run at the end; an eighth have two or three occurrences whose period is shorter than their tasks. The checker follows occurrences in its task names; a long-running job must not be reported as failed. Runs of long-running tasks last until they fail or are stopped in the stand-in. The other jobs keep their random numbers.

--- a/internal/systemtest/soakcheck_test.go
+++ b/internal/systemtest/soakcheck_test.go
@@ -11,8 +11,10 @@
 // jobView is what callers know about a job.
 type jobView struct {
 	queue        string
-	steps        int // each depends on the one before
-	width        int // tasks per step
+	steps        int  // each depends on the one before
+	width        int  // tasks per step
+	occurrences  int  // 1 for a job without a schedule
+	lasting      bool // runs until it is cancelled
 	sent         bool
 	accepted     bool
 	undetermined bool // a submission attempt ended without a final answer
@@ -85,7 +87,7 @@
 
 func (c *soakChecker) applyStart(e users.Event) {
 	c.startCount++
-	id, step := parseTaskID(e.Task)
+	id, occurrence, step := parseTaskID(e.Task)
 	j, ok := c.jobs[id]
 	if !ok {
 		c.addFinding("unrequested run: task %s was started, but nobody submitted its job", e.Task)
@@ -104,7 +106,7 @@
 		c.addFinding("unrequested run: task %s was started %s after the cancellation of its job", e.Task, e.At.Sub(j.cancelledAt))
 	}
 	for i := range j.width {
-		if before := fmt.Sprintf("%s.0.%d.%d", id, step-1, i); step > 0 && !c.done[before] {
+		if before := fmt.Sprintf("%s.%d.%d.%d", id, occurrence, step-1, i); step > 0 && !c.done[before] {
 			c.addFinding("dependency violation: task %s was started before task %s was done", e.Task, before)
 		}
 	}
@@ -114,13 +116,14 @@
 	c.running[e.Task][e.Worker] = e.Attempt
 }
 
-func parseTaskID(task string) (job string, step int) {
+func parseTaskID(task string) (job string, occurrence, step int) {
 	parts := strings.Split(task, ".")
 	if len(parts) != 4 {
-		return task, 0
+		return task, 0, 0
 	}
+	_, _ = fmt.Sscan(parts[1], &occurrence)
 	_, _ = fmt.Sscan(parts[2], &step)
-	return parts[0], step
+	return parts[0], occurrence, step
 }
 
 // applyState checks and records a job state that a caller was told.
@@ -137,7 +140,7 @@
 				c.addFinding("contradictory state: job %s was reported as completed, but task %s is not done", id, task)
 			}
 		}
-	case state == "failed" && !c.mayFail(id):
+	case state == "failed" && (j.lasting || !c.mayFail(id)):
 		c.addFinding("lost job: job %s was reported as failed, but no task of it has used up its attempts", id)
 	}
 	if state != "gone" {
@@ -160,10 +163,12 @@
 
 func (c *soakChecker) taskIDs(id string, j *jobView) func(yield func(string) bool) {
 	return func(yield func(string) bool) {
-		for s := range j.steps {
-			for i := range j.width {
-				if !yield(fmt.Sprintf("%s.0.%d.%d", id, s, i)) {
-					return
+		for k := range j.occurrences {
+			for s := range j.steps {
+				for i := range j.width {
+					if !yield(fmt.Sprintf("%s.%d.%d.%d", id, k, s, i)) {
+						return
+					}
 				}
 			}
 		}
@@ -171,8 +176,12 @@
 }
 
 // openJobs returns the accepted, uncancelled jobs that were not reported as ended.
+// Long-running jobs do not end; they are returned while not all of their tasks run.
 func (c *soakChecker) openJobs() (ids []string) {
 	for id, j := range c.jobs {
+		if j.lasting && c.allRunning(id, j) {
+			continue
+		}
 		if j.accepted && j.cancelledAt.IsZero() && j.lastState != "completed" && j.lastState != "failed" {
 			ids = append(ids, id)
 		}
@@ -180,10 +189,19 @@
 	return ids
 }
 
+func (c *soakChecker) allRunning(id string, j *jobView) bool {
+	for task := range c.taskIDs(id, j) {
+		if len(c.running[task]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // checkRefusedJobs checks that no task ran of a job that was never accepted.
 func (c *soakChecker) checkRefusedJobs() {
 	for task := range c.running {
-		id, _ := parseTaskID(task)
+		id, _, _ := parseTaskID(task)
 		if j := c.jobs[id]; j != nil && !j.accepted && !j.undetermined {
 			c.addFinding("refused job ran: task %s ran, but every attempt to submit its job was refused", task)
 		}
--- a/internal/systemtest/soakload_test.go
+++ b/internal/systemtest/soakload_test.go
@@ -56,29 +56,52 @@
 	for i := range clients {
 		clients[i] = &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: neverRetry}
 	}
+	var lasting []string // accepted long-running jobs that were not cancelled
 	for ctx.Err() == nil {
-		s.submitJob(ctx, clients, random)
+		switch id, j, accepted := s.submitJob(clients, random); {
+		case accepted && j.lasting:
+			lasting = append(lasting, id)
+		case accepted:
+			s.pollOrCancel(ctx, clients, random, id, j)
+		}
+		if len(lasting) > maxLastingJobs {
+			s.cancel(clients, random, lasting[0])
+			lasting = lasting[1:]
+		}
 		time.Sleep(time.Duration(random.IntN(120)) * time.Millisecond)
 	}
 }
 
+// maxLastingJobs is the number of long-running jobs that a caller keeps. All
+// callers together use less than half of the default workers for them.
+const maxLastingJobs = 2
+
 func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
-func (s *soak) submitJob(ctx context.Context, clients []*fasthttp.Client, random *rand.Rand) {
-	id := fmt.Sprintf("%016x", random.Uint64())
-	j := &jobView{queue: users.Prefix, steps: 1 + random.IntN(2), width: 1 + random.IntN(4), sent: true}
+// submitJob submits a job. It repeats attempts without a final answer.
+func (s *soak) submitJob(clients []*fasthttp.Client, random *rand.Rand) (id string, j *jobView, accepted bool) {
+	number := random.Uint64()
+	id = fmt.Sprintf("%016x", number)
+	j = &jobView{queue: users.Prefix, steps: 1 + random.IntN(2), width: 1 + random.IntN(4), occurrences: 1, sent: true}
+	spec, extra, schedule := "soak", "", ""
+	switch number % 8 {
+	case 0:
+		j.lasting, j.steps, j.width = true, 1, 1+random.IntN(2)
+		spec, extra = users.LastingSpec, `"long-running":true,`
+	case 1: // a task takes longer than the period, so that the occurrences overlap
+		j.occurrences = 2 + random.IntN(2)
+		schedule = fmt.Sprintf(`,"repeat-count":%d,"start-ms":%d,"period-ms":%d`, j.occurrences, time.Now().UnixMilli()+int64(random.IntN(400)), 50+random.IntN(150))
+	}
 	steps := ""
 	for n := range j.steps {
-		after := ""
+		after := ","
 		if n > 0 {
 			after = fmt.Sprintf(`,"after":[%d],`, n-1)
 			steps += ","
-		} else {
-			after = ","
 		}
-		steps += fmt.Sprintf(`{"count":%d,"cpu":1500,"mem-mb":100%s"est-runtime-ms":250}`, j.width, after)
+		steps += fmt.Sprintf(`{"count":%d,"cpu":1500,"mem-mb":100%s%s"est-runtime-ms":250}`, j.width, after, extra)
 	}
-	body := `{"spec":"soak","steps":[` + steps + `]}`
+	body := `{"spec":"` + spec + `","steps":[` + steps + `]` + schedule + `}`
 	recorded := make(chan struct{})
 	s.postUpdate(func(c *soakChecker) { c.jobs[id] = j; close(recorded) })
 	<-recorded // the checker must know the job before its tasks can start
@@ -88,28 +111,21 @@
 		status, _ := exchange(clients[n], fasthttp.MethodPost, s.nodes[n].callerAddr, j.queue+id, body)
 		if status == fasthttp.StatusOK {
 			s.postUpdate(func(*soakChecker) { j.accepted = true })
-			s.pollOrCancel(ctx, clients, random, id, j)
-			return
+			return id, j, true
 		}
 		if status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusTooManyRequests {
 			s.postUpdate(func(*soakChecker) { j.undetermined = true })
 		}
 		time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
 	}
+	return id, j, false
 }
 
 // pollOrCancel polls the job's state up to three times, or cancels the job.
 func (s *soak) pollOrCancel(ctx context.Context, clients []*fasthttp.Client, random *rand.Rand, id string, j *jobView) {
 	if random.IntN(10) == 0 {
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
-		n := random.IntN(len(s.nodes))
-		// Whatever the answer is, the checker no longer waits for the job's end.
-		status, _ := exchange(clients[n], fasthttp.MethodDelete, s.nodes[n].callerAddr, j.queue+id, "")
-		at := time.Now()
-		if status != fasthttp.StatusOK {
-			at = at.Add(time.Hour) // may or may not take effect, so starts stay allowed
-		}
-		s.postUpdate(func(*soakChecker) { j.cancelledAt = at })
+		s.cancel(clients, random, id)
 		return
 	}
 	for range 1 + random.IntN(3) {
@@ -124,6 +140,18 @@
 	}
 }
 
+// cancel cancels a job. Whatever the answer is, the checker no longer waits for
+// the job's end.
+func (s *soak) cancel(clients []*fasthttp.Client, random *rand.Rand, id string) {
+	n := random.IntN(len(s.nodes))
+	status, _ := exchange(clients[n], fasthttp.MethodDelete, s.nodes[n].callerAddr, users.Prefix+id, "")
+	at := time.Now()
+	if status != fasthttp.StatusOK {
+		at = at.Add(time.Hour) // may or may not take effect, so starts stay allowed
+	}
+	s.postUpdate(func(c *soakChecker) { c.jobs[id].cancelledAt = at })
+}
+
 func (s *soak) postUpdate(update func(c *soakChecker)) { s.updates <- update }
 
 // clearFaultsEvery is the average number of steps between clearings of all
--- a/standin/users/worker.go
+++ b/standin/users/worker.go
@@ -29,8 +29,13 @@
 	attempt   int
 	startTime time.Time
 	fails     bool
+	lasting   bool // runs until it fails or is stopped
 }
 
+// LastingSpec is the spec of jobs whose runs last until they fail or are stopped,
+// as those of long-running steps do.
+const LastingSpec = "lasting"
+
 func (p *Platform) addWorker(n int) error {
 	w := &worker{id: "i-" + strconv.Itoa(n), machine: "m-" + strconv.Itoa(n), born: time.Now().UnixMilli(), lastEndedAttempt: map[string]int{}}
 	var err error
@@ -57,7 +62,7 @@
 				p.endRun(w, r, "lapsed")
 			case now.Sub(r.startTime) >= p.opt.TaskTime && r.fails:
 				p.endRun(w, r, "failed")
-			case now.Sub(r.startTime) >= p.opt.TaskTime:
+			case now.Sub(r.startTime) >= p.opt.TaskTime && !r.lasting:
 				w.doneRuns++
 				p.endRun(w, r, "done")
 			}
@@ -89,6 +94,7 @@
 type command struct {
 	Task       string `json:"task"`
 	Attempt    int    `json:"attempt"`
+	Spec       string `json:"spec"`
 	DeadlineMS int64  `json:"deadline-ms"`
 	FenceToken uint64 `json:"fence-token"`
 	LastSeen   int    `json:"last-seen"`
@@ -180,7 +186,9 @@
 			p.overlapping = append(p.overlapping, cmd.Task)
 		}
 	}
-	r := &run{task: cmd.Task, attempt: cmd.Attempt, startTime: time.Now(), fails: p.chance(p.faults.FailRuns)}
+	r := &run{
+		task: cmd.Task, attempt: cmd.Attempt, startTime: time.Now(), fails: p.chance(p.faults.FailRuns), lasting: cmd.Spec == LastingSpec,
+	}
 	w.runs = append(w.runs, r)
 	p.recordEvent(Started, w, r, "")
 	return ""
