systemtest: size the port range of the soak by its number of nodes

Cause: a test process has a range of 100 ports, and 40 nodes take 120. A port is free while its node has not started yet, so the range gave it out twice.

Change: the range has room for two runs of the number of nodes; 100 ports stay the minimum.

--- a/internal/systemtest/soak_test.go
+++ b/internal/systemtest/soak_test.go
@@ -134,17 +134,25 @@
 // node needs its port again. The range depends on the PID, so that several test
 // processes can run at the same time.
 const (
-	firstPort      = 15000
-	portRangeCount = 150
-	portRangeSize  = 100 // enough for eight runs of four nodes with three ports each
+	firstPort        = 15000
+	portCount        = 15000 // for all test processes
+	minPortRangeSize = 100   // enough for eight runs of four nodes
+	portsPerNode     = 3
 )
 
 var portCounter atomic.Int64
 
+// portRangeSize returns the number of ports for this process: one run must not
+// come back to a port that it has chosen for a node which does not listen yet.
+func portRangeSize() int {
+	return max(minPortRangeSize, 2*portsPerNode*envInt("SOAK_NODES", soakNodes))
+}
+
 func freePort(t testing.TB) string {
-	first := firstPort + os.Getpid()%portRangeCount*portRangeSize
-	for range portRangeSize {
-		addr := fmt.Sprintf("127.0.0.1:%d", first+int(portCounter.Add(1))%portRangeSize)
+	size := portRangeSize()
+	first := firstPort + os.Getpid()%(portCount/size)*size
+	for range size {
+		addr := fmt.Sprintf("127.0.0.1:%d", first+int(portCounter.Add(1))%size)
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			l.Close()
 			return addr
