pools: wait for the owner before a brief former term

Callers can see: after two takeovers in a row, a task runs twice.

Cause: since an owner whose former owner has the same name waits for MaxLease instead of MaxLease + leaseOverrun, as an earlier process of the VM extends no lease any more. The owner before that one may: it goes on for 5 s after the end of its lease. That is so if the former term was brief, for example if the claim had no answer and was repeated with the next token, or if the new owner was killed and came back.

Change: the short wait needs a former term of at least leaseOverrun, which follows from the number of its renewals.

Evidence: TestBriefFormerTermDoesNotEndTheWaitForItsPredecessor failed before (6 s instead of 11 s) and passes now. The wait of a pool whose owner was killed within 5 s of its claim is 5 s longer again.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -181,6 +181,15 @@
 	return h.State == Held && now.Before(h.lease.Until().Add(overrun))
 }
 
+// FormerTerm returns a time that the former holder held the lease for at least. It
+// follows from the number of its renewals.
+func (h *Holder) FormerTerm() time.Duration {
+	if h.FormerControl.Renewal == 0 {
+		return 0
+	}
+	return time.Duration(h.FormerControl.Renewal-1) * renewInterval // the first may follow the claim at once
+}
+
 // Version returns the version of the lease row as last written by this process.
 func (h *Holder) Version() uint64 { return h.version }
 
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -233,9 +233,10 @@
 
 // formerLease returns how long after the takeover the leases of the former owner's
 // runs may end. An earlier process of this VM, or an earlier term of this one, grants
-// none after the takeover; another owner may not know of it yet.
+// none after the takeover; another owner may not know of it yet. That also holds for
+// the owner before the former one, unless the former term was longer than the overrun.
 func (d *Duty) formerLease(p *pool) time.Duration {
-	if p.FormerControl.Holder == d.Self {
+	if p.FormerControl.Holder == d.Self && p.FormerTerm() >= leaseOverrun {
 		return d.Bounds.MaxLease
 	}
 	return d.Bounds.MaxLease + leaseOverrun
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -379,3 +379,20 @@
 	d.handleView(&board.View{MissedChanges: 2})
 	require.True(t, <-enabled.C())
 }
+
+// An owner that had held the pool only briefly before, or whose first claim had no
+// answer, did not wait for the runs of the owner before that one, which may extend
+// their leases for leaseOverrun.
+func TestBriefFormerTermDoesNotEndTheWaitForItsPredecessor(t *testing.T) {
+	d := newDuty()
+	d.Self, d.Bounds.MaxLease = "a", 6*time.Second
+	p := d.addPool("p")
+	p.FormerControl.Holder, p.FormerControl.Renewal = "a", 0
+	require.Equal(t, 6*time.Second+leaseOverrun, d.formerLease(p), "the first claim had no answer")
+	p.FormerControl.Renewal = 15
+	require.Equal(t, 6*time.Second+leaseOverrun, d.formerLease(p), "the term may have lasted for 14/3 s")
+	p.FormerControl.Renewal = 20
+	require.Equal(t, 6*time.Second, d.formerLease(p))
+	p.FormerControl.Holder = "b"
+	require.Equal(t, 6*time.Second+leaseOverrun, d.formerLease(p))
+}
