pools: add no recovered job without its progress

Callers can see: after a takeover while routes are added, done tasks run again.

Cause: a change of the work table is handed to the engine as a job without progress. If the new owner's feed is behind and its configuration lacks the job's queue, so that the queue was not read, such a change can be a job that the former owner has run.

Change: a job that is older than the takeover is added only with the progress that was read. A queue that was not read is read then.

Evidence: TestLateChangeDoesNotAddRecoveredJobWithoutProgress failed before (the job was added without progress) and passes now.

--- a/node/pools/find_test.go
+++ b/node/pools/find_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
@@ -80,3 +81,27 @@
 	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
 	require.True(t, p.events[2].(engine.JobsSearched).OK)
 }
+
+// A job of a queue that had not been read arrived through a feed that was behind. It
+// was added without its stored progress, so that its done tasks ran again.
+func TestLateChangeDoesNotAddRecoveredJobWithoutProgress(t *testing.T) {
+	d, p, f, _ := newDutyWithUnreadJob(t)
+	name := store.WorkQueue("h", "/a/")
+	changes := follow.Delta{Table: store.TableWork}
+	for _, row := range f.rows[name+"-0"] {
+		changes.Changes = append(changes.Changes, store.Change{Row: row})
+	}
+	d.handleDelta(changes)
+	for _, e := range p.events {
+		_, isJob := e.(engine.JobAdded)
+		require.False(t, isJob)
+	}
+	require.Equal(t, []string{name}, p.unreadQueues)
+	d.workFollowed = true
+	p.events = nil
+	d.runPool(context.Background(), d.now(), p)
+	d.handleResult(<-d.results.C())
+	require.Len(t, p.events, 2)
+	require.True(t, p.events[0].(engine.JobAdded).Recovered)
+	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+}
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -275,8 +275,8 @@
 }
 
 // addWorkEvent queues an event for a row of the work table. It returns 1 if the
-// row is a submission to the pool that can be scheduled, otherwise 0. In
-// progressByJob, nil stands for progress that can't be decoded.
+// row is a submission to the pool that can be scheduled, otherwise 0. progressByJob is
+// nil if progress was not read; in it, nil stands for progress that can't be decoded.
 func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
 	if c.Removed {
 		return 0
@@ -297,10 +297,24 @@
 		d.Log.Error("a stored job can't be scheduled", "row", c.Key, "error", err)
 		return 0
 	}
+	recovered := c.Version < p.TakenVersion && p.Control.Token > 1
+	if recovered && progressByJob == nil {
+		p.requireRead(store.WorkQueue(work.Queue.Host, work.Queue.Prefix))
+		return 0 // the engine has it already or is given it with its progress
+	}
 	progress, found := progressByJob[work.ID]
 	if found && progress == nil {
 		return 0 // without its progress, done tasks would run again
 	}
-	p.addEvent(engine.JobAdded{Submission: work, Progress: progress, Recovered: c.Version < p.TakenVersion && p.Control.Token > 1})
+	p.addEvent(engine.JobAdded{Submission: work, Progress: progress, Recovered: recovered})
 	return 1
 }
+
+// requireRead makes the duty read the jobs of a queue unless it has done or will do so.
+func (p *pool) requireRead(queue string) {
+	if p.queues[queue] || slices.Contains(p.FormerControl.Queues, queue) {
+		return
+	}
+	p.queues[queue] = true
+	p.unreadQueues = append(p.unreadQueues, queue)
+}
