engine: let runs after a restart last for a lease from their start

Callers can see: after an outage of the store in which a worker restarted under its ID, a task runs twice.

Cause: a start may reach the next life of its worker. If the owner learns of the restart from an answer to a hold, the run is kept until the lease of the former life must have expired, but the lease of the new life begins with the start. Until the new life is registered, no hold resolves the run.

Change: the run is kept for two leases, as when the restart is learned of from the registration.

Evidence: TestStartMayLastForALeaseAfterARestart failed before (j1.0.0.0 was started at b within 6 s) and passes now.

--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -385,3 +385,20 @@
 	require.Empty(t, a.running)
 	require.Equal(t, workload.Cancelled, r.m.ended["j1"])
 }
+
+// The lease of a worker that had restarted was taken to end with that of its former
+// life, so that a start that its new life had carried out was repeated elsewhere.
+func TestStartMayLastForALeaseAfterARestart(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
+	a := r.workers["a"].Incarnation
+	r.now = r.now.Add(time.Second)
+	r.m.Step(r.now, 0, HoldAnswered{Worker: a, Sent: r.now, Result: OK, Report: HoldReport{Clock: 1, Born: 2}})
+	r.workers["b"] = newWorker("b")
+	r.workers["b"].startedAt = r.now.Add(-time.Minute)
+	r.step(r.registrations()) // the new life of a is not registered yet
+	r.advance(testLease)
+	require.Empty(t, r.starts, "the run may last for a lease from its start")
+	r.advance(testLease + time.Second)
+	require.Len(t, r.starts, 1)
+}
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -304,6 +304,7 @@
 		m.logDecision("worker-gone", "the worker has started again", nil, w, 0)
 		w.gone = true
 		m.removeRunsBeforeRestart(now, w)
+		w.leaseEnd = m.leaseEndAfterRestart(now)
 		return
 	}
 	if w.suspect {
@@ -395,15 +396,20 @@
 	m.needsPlacement = true
 }
 
+// leaseEndAfterRestart returns when runs must have expired that a restarted worker may
+// have from its former incarnation's orders. The deadlines of the starts were on that
+// one's clock, so each run may still begin and then last for a whole lease.
+func (m *Scheduler) leaseEndAfterRestart(now time.Time) time.Time {
+	return now.Add(2 * maxLocalLease(m.cfg.Lease))
+}
+
 // transferRuns moves the remaining runs of a worker's former incarnation to the
 // new one, whose answers to holds resolve them.
 func (m *Scheduler) transferRuns(now time.Time, w, former *worker) {
 	if len(former.runs) == 0 {
 		return
 	}
-	// The deadlines of the starts were on the clock of the former incarnation, so
-	// each run may still begin and then last for a whole lease.
-	w.leaseEnd = now.Add(2 * maxLocalLease(m.cfg.Lease))
+	w.leaseEnd = m.leaseEndAfterRestart(now)
 	w.runs, former.runs = former.runs, nil
 	w.bestEffortRuns, former.bestEffortRuns = former.bestEffortRuns, 0
 	for _, r := range w.runs {
