engine: keep the objective of a job that is looked up

Callers can see: after a takeover while routes are added, a job with several tasks or steps is late in an overload.

Cause: the run of a job that has just been found is settled before the job's occurrence is opened. That opens it as one that a former owner's clock had made due, with the due time 0 of a job without a schedule, so it counts as overdue since 1970 and comes after all others.

Change: an occurrence of a job without a schedule is due when the job arrived.

Evidence: TestJobThatIsLookedUpKeepsItsObjective failed before (due in 1970, the epoch, instead of 1 s before) and passes now.

--- a/engine/job.go
+++ b/engine/job.go
@@ -164,10 +164,14 @@
 	j.nextOccurrence++
 }
 
-// openEarly creates an occurrence that is not due by this process's clock, but
-// that a former owner has started.
+// openEarly creates an occurrence that a former owner has started, and that is not due
+// by this process's clock or has not been opened yet.
 func (j *job) openEarly(now time.Time, wallMs int64, number int) {
-	j.open(number, now.Add(time.Duration(j.dueAt(number)-wallMs)*time.Millisecond))
+	due := j.arrived
+	if j.submission.Repeat.Count > 0 {
+		due = now.Add(time.Duration(j.dueAt(number)-wallMs) * time.Millisecond)
+	}
+	j.open(number, due)
 }
 
 // mayOpenEarly reports whether the occurrence exists, has not ended and is not
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -402,3 +402,21 @@
 	r.advance(testLease + time.Second)
 	require.Len(t, r.starts, 1)
 }
+
+// A job that was found after a worker had reported a run of it counted as due since
+// 1970, so that its remaining tasks came after those of all other jobs.
+func TestJobThatIsLookedUpKeepsItsObjective(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(100 * time.Millisecond)
+	job := testJob("j1", simpleStep(1))
+	job.Recovered, job.Submission.Accepted = true, r.now.Add(-time.Second).UnixMilli()
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	require.Len(t, a.running, 1)
+	require.Equal(t, r.now.Add(-time.Second), r.m.jobs["j1"].openOccurrences[0].due)
+}
