pools: take only complete registrations as a sign of a restart

Callers can see: after a takeover, a task runs twice.

Cause: since a later registration on a machine ends the wait for the former owner's worker there. An entry of another writer that lacks version, slots, cold-left-ms or seq is let through on purpose, since it is only dialled in vain, but now it counted as such a registration too.

Change: a registration counts only if it has these fields.

--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -396,3 +396,19 @@
 	p.FormerControl.Holder = "b"
 	require.Equal(t, 6*time.Second+leaseOverrun, d.formerLease(p))
 }
+
+// An entry of another writer, or of a pool that does not exist, ended the wait for a
+// worker that was still running tasks of the former owner.
+func TestOnlyCompleteRegistrationsShowThatAMachineRestarted(t *testing.T) {
+	r := newRegistry()
+	add := func(id, pool string, born int64, complete bool) {
+		r.workers[id] = workload.Worker{Incarnation: workload.Incarnation{ID: id, Born: born}, Machine: "m", Pool: pool, Complete: complete}
+	}
+	add("former", "p", 5, true)
+	add("odd", "p", 9, false)
+	add("other", "none", 9, true)
+	c := &workload.Configuration{Pools: []workload.PoolOptions{{Name: "p"}, {Name: "q"}}}
+	require.Equal(t, map[string]workload.Incarnation{"m": {ID: "former", Born: 5}}, r.newestOnMachines(c))
+	add("later", "q", 6, true)
+	require.Equal(t, map[string]workload.Incarnation{"m": {ID: "later", Born: 6}}, r.newestOnMachines(c))
+}
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -92,7 +92,7 @@
 }
 
 // newestOnMachines returns by machine the newest worker that is registered on it in
-// one of the configured pools.
+// one of the configured pools. Registrations of other writers don't count.
 func (r *registry) newestOnMachines(c *workload.Configuration) map[string]workload.Incarnation {
 	configured := map[string]bool{}
 	for _, p := range c.Pools {
@@ -100,7 +100,7 @@
 	}
 	newest := make(map[string]workload.Incarnation, len(r.workers))
 	for _, w := range r.workers {
-		if w.Machine != "" && configured[w.Pool] && w.Born > newest[w.Machine].Born {
+		if w.Complete && w.Machine != "" && configured[w.Pool] && w.Born > newest[w.Machine].Born {
 			newest[w.Machine] = w.Incarnation
 		}
 	}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -156,6 +156,7 @@
 	Remaining  time.Duration // minimum time until the worker stops; valid while it drains
 	Capacity   placement.Size
 	Labels     []string
+	Complete   bool // has all fields that each worker reports; if not, it may not come from a worker
 }
 
 // Rack returns the last label, which is the worker's rack, or "" if there are
