fleet: keep a late wave status from replacing completion

Callers can see: the operator sees a wave as running after it has been completed.

Cause: the status of a wave was stored without a condition, and the store may execute a write without an answer seconds later. The status 'running' of a former owner, or of an earlier attempt, then replaced 'completed', which is written once.

Change: 'running' is stored only if the wave has no status.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -203,8 +203,14 @@
 	return 0, false
 }
 
+// waveStatusOp returns the write of a wave's status. The store may execute a write
+// seconds late, so the status "running" replaces no other.
 func waveStatusOp(wave int, done bool) store.Op {
-	return store.Op{Kind: store.OpPut, Key: operator.KeyWaveStatus(wave), Value: operator.EncodeWaveStatus(done)}
+	kind := store.OpInsert
+	if done {
+		kind = store.OpPut
+	}
+	return store.Op{Kind: kind, Key: operator.KeyWaveStatus(wave), Value: operator.EncodeWaveStatus(done)}
 }
 
 // unreadyAfter is how long the store may be unreachable before the process reports
--- a/daemon/node/node_test.go
+++ b/daemon/node/node_test.go
@@ -12,9 +12,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/carobwharf/carobwharf/internal/memtable"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/settings"
 	"github.com/carobwharf/carobwharf/standin/users"
+	"github.com/carobwharf/carobwharf/store"
 )
 
 func freeAddr(t testing.TB) string {
@@ -180,3 +182,17 @@
 	}
 	require.Equal(t, cap(statuses), accepted, "accepted submissions")
 }
+
+// The status "running" that the store executed late replaced "completed", and the
+// operator saw the wave as running for ever.
+func TestLateWaveStatusDoesNotReplaceCompletion(t *testing.T) {
+	table := memtable.New()
+	_, err := table.Commit([]store.Op{waveStatusOp(1, true)})
+	require.NoError(t, err)
+	_, err = table.Commit([]store.Op{waveStatusOp(1, false)})
+	require.Error(t, err)
+	_, err = table.Commit([]store.Op{waveStatusOp(1, true)})
+	require.NoError(t, err)
+	_, err = table.Commit([]store.Op{waveStatusOp(2, false), waveStatusOp(3, true)})
+	require.NoError(t, err)
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -321,7 +321,9 @@
 			defer cancel()
 			_, err := d.Table.Commit(callCtx, []store.Op{d.WaveStatus(a.Wave, a.Done)})
 			d.Log.Info("write of wave status finished", "wave", a.Wave, "done", a.Done, "error", err)
-			d.postResult(ctx, fleet.WaveStatusStored{Wave: a.Wave, Done: a.Done, OK: err == nil})
+			var conflict *store.ConflictError
+			stored := err == nil || !a.Done && errors.As(err, &conflict) // a status is there already
+			d.postResult(ctx, fleet.WaveStatusStored{Wave: a.Wave, Done: a.Done, OK: stored})
 		})
 	case fleet.Decision:
 		d.Log.Info(a.What, "machine", a.Machine, "pool", a.Pool, "wave", a.Wave, "why", a.Why, "token", d.holder.Control.Token)
