--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -386,6 +386,41 @@
 	require.Equal(t, workload.Cancelled, r.m.ended["j1"])
 }
 
+// The lease of a worker that had restarted was taken to end with that of its former
+// life, so that a start that its new life had carried out was repeated elsewhere.
+func TestStartMayLastForALeaseAfterARestart(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
+	a := r.workers["a"].Incarnation
+	r.now = r.now.Add(time.Second)
+	r.m.Step(r.now, 0, HoldAnswered{Worker: a, Sent: r.now, Result: OK, Report: HoldReport{Clock: 1, Born: 2}})
+	r.workers["b"] = newWorker("b")
+	r.workers["b"].startedAt = r.now.Add(-time.Minute)
+	r.step(r.registrations()) // the new life of a is not registered yet
+	r.advance(testLease)
+	require.Empty(t, r.starts, "the run may last for a lease from its start")
+	r.advance(testLease + time.Second)
+	require.Len(t, r.starts, 1)
+}
+
+// A job that was found after a worker had reported a run of it counted as due since
+// 1970, so that its remaining tasks came after those of all other jobs.
+func TestJobThatIsLookedUpKeepsItsObjective(t *testing.T) {
+	a := newWorker("a")
+	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	r.advance(100 * time.Millisecond)
+	job := testJob("j1", simpleStep(1))
+	job.Recovered, job.Submission.Accepted = true, r.now.Add(-time.Second).UnixMilli()
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	require.Len(t, a.running, 1)
+	require.Equal(t, r.now.Add(-time.Second), r.m.jobs["j1"].openOccurrences[0].due)
+}
+
 // Guards against a run of an unknown job that is adopted when the job is found,
 // although its worker has gone meanwhile, so that its task never runs again.
 func TestRunOfUnreadJobEndsWithItsWorker(t *testing.T) {
