engine: log for which workers a new owner waited

The log of a pool told neither when a new owner began to start the tasks of older jobs nor which workers of the former owner held it up; the cause of waits of 11 s had to be found from the gap between other lines.

TestEndOfTakeoverIsLogged checks the line takeover-complete.

--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -10,7 +10,9 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/carobwharf/carobwharf/workload"
@@ -50,6 +52,8 @@
 	upcomingRelease map[string]bool         // machines that must be released later
 	reserved        map[*worker]bool        // workers kept free for long-running tasks during this placement pass
 	formerWorkers   map[string]formerWorker // workers that the former owner may have used, by ID
+	silentFormer    []string                // those of them that did not answer before their leases had expired
+	tookOverAt      time.Time               // zero once the end of the wait for formerWorkers is logged
 	shortfall       int                     // thousandths of a core that waiting tasks lack
 	storedLoad      int                     // load in the last load row written, in thousandths of a core
 	needsPlacement  bool                    // something that placement depends on has changed
@@ -102,6 +106,7 @@
 		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]formerWorker{},
 	}
 	if len(formerWorkers) > 0 {
+		m.tookOverAt = now
 		// Stop orders of the former owner may still be in progress.
 		m.noMovesBefore = now.Add(cfg.KillGrace + stopRetryInterval)
 	}
@@ -131,6 +136,7 @@
 	}
 	m.settleUnknown(now)
 	m.expireLeases(now)
+	m.logTakeover(now)
 	m.openDueOccurrences(now)
 	if m.closeFinished(now) {
 		m.openDueOccurrences(now) // there may be room for the next ones
@@ -403,6 +409,24 @@
 // something that this owner does not know of.
 func (m *Scheduler) takeoverComplete() bool { return len(m.formerWorkers) == 0 }
 
+// maxLoggedWorkers is the number of workers that a log line names.
+const maxLoggedWorkers = 5
+
+// logTakeover logs the end of the wait for the workers of the former owner, which
+// holds up the tasks of recovered jobs.
+func (m *Scheduler) logTakeover(now time.Time) {
+	if m.tookOverAt.IsZero() || !m.takeoverComplete() {
+		return
+	}
+	why := fmt.Sprintf("after %d ms, %d workers of the former owner did not answer", now.Sub(m.tookOverAt).Milliseconds(), len(m.silentFormer))
+	if len(m.silentFormer) > 0 {
+		slices.Sort(m.silentFormer)
+		why += ", among them " + strings.Join(m.silentFormer[:min(len(m.silentFormer), maxLoggedWorkers)], " ")
+	}
+	m.emit(Decision{What: "takeover-complete", Why: why})
+	m.tookOverAt, m.silentFormer = time.Time{}, nil
+}
+
 // AwaitsFormerWorkers reports whether MachinesRestarted can end a wait.
 func (m *Scheduler) AwaitsFormerWorkers() bool { return !m.takeoverComplete() }
 
@@ -444,6 +468,7 @@
 			continue
 		}
 		delete(m.formerWorkers, id)
+		m.silentFormer = append(m.silentFormer, id)
 		m.needsPlacement = true
 	}
 	for _, w := range m.sortedWorkers {
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -442,3 +442,20 @@
 	require.Len(t, r.starts, 1)
 	require.Equal(t, "b", r.starts[0].Incarnation.ID)
 }
+
+// Without the line, a log does not tell for which workers a new owner waited.
+func TestEndOfTakeoverIsLogged(t *testing.T) {
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1, Machine: "m-a"}, {ID: "gone", Born: 5, Machine: "m-gone"}}, newWorker("a"))
+	logged := func() (why []string) {
+		for _, d := range r.decisions {
+			if d.What == "takeover-complete" {
+				why = append(why, d.Why)
+			}
+		}
+		return why
+	}
+	r.advance(time.Second)
+	require.Empty(t, logged())
+	r.advance(2 * testLease)
+	require.Equal(t, []string{"after 6220 ms, 1 workers of the former owner did not answer, among them gone"}, logged())
+}
