holder: make time for three writes in a lease

Callers saw late answers while the store lost answers: after two lost answers in a row still cost a pool its owner, which at 30% lost answers is 9% of the renewals, one of which is due every 333 ms for each of six leases.

The first two writes wait 300 ms for an answer and are repeated after 50 and 100 ms, so a third is on its way 750 ms after the first, before others may claim the lease. A claim after an unanswered write waits 900 ms, as it holds up nobody who could do better.

--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -42,14 +42,14 @@
 	claimRetryDelay = 300 * time.Millisecond
 	// minWriteRetryDelay is the delay before the next write after one failed. It
 	// doubles with each failure, up to maxWriteRetryDelay.
-	minWriteRetryDelay = 100 * time.Millisecond
+	minWriteRetryDelay = 50 * time.Millisecond
 	maxWriteRetryDelay = 400 * time.Millisecond
-	// writeTimeout is the timeout of a write to a store that has answered the last one
-	// in time. If the answer is lost, it leaves time for another write before the
-	// lease ends.
+	// writeTimeout is the timeout of a write to a store that is not known to be slow.
+	// If two answers in a row are lost, it leaves time for a third write before
+	// another process may claim the lease.
 	writeTimeout = 300 * time.Millisecond
 	// slowWriteTimeout is the timeout of a write to a store that is slow or has not
-	// answered the last one. After a later answer, too little of the lease would
+	// answered the last two. After a later answer, too little of the lease would
 	// remain.
 	slowWriteTimeout = 900 * time.Millisecond
 )
@@ -166,7 +166,7 @@
 
 // nextTimeout returns the timeout of the next write.
 func (h *Holder) nextTimeout() time.Duration {
-	if h.slow || h.unanswered > 0 {
+	if h.slow {
 		return slowWriteTimeout
 	}
 	return writeTimeout
@@ -251,6 +251,9 @@
 func (h *Holder) Claim(now time.Time, v *board.View) Write {
 	row, exists := v.Leases[h.Name]
 	w := Write{Control: row.Control, requested: now, timeout: h.nextTimeout(), claim: true, renews: true}
+	if h.unanswered > 0 {
+		w.timeout = slowWriteTimeout // a claim is in no hurry
+	}
 	w.Control.Share = h.cpuShare
 	w.Control.SetLease(lease.Takeover(row.Record(), h.self, h.nextDuration()))
 	if h.claimToken != w.Control.Token {
--- a/node/holder/holder_test.go
+++ b/node/holder/holder_test.go
@@ -241,22 +241,27 @@
 	require.True(t, New("p", "strong", 0.8, hclog.NewNullLogger()).ClaimDue(now, tab.view(now, leaseDuration+maxClaimJitter), 0))
 }
 
-// Guards against an owner that loses its lease because the answer of one renewal
-// is lost.
-func TestLostAnswerOfRenewalLeavesTimeForAnother(t *testing.T) {
+// Guards against an owner that loses its lease because the answers of two renewals in
+// a row are lost.
+func TestLostAnswersOfRenewalsLeaveTimeForAnother(t *testing.T) {
 	tab := newTable()
 	h := New("p", "a", 1, hclog.NewNullLogger())
 	require.Equal(t, Acquired, claimLease(t, h, tab, start, 0))
-	sent := h.RenewAt(0)
-	w := h.Renew(sent, h.Control, false)
-	failed := sent.Add(w.timeout)
-	require.Equal(t, NotStored, h.HandleResult(failed, Result{write: w, err: store.ErrUnknown}))
-	retry := h.RenewAt(0)
-	require.True(t, h.Valid(retry.Add(100*time.Millisecond)), "the retry at %s is answered before the lease ends", retry.Sub(start))
-	w = h.Renew(retry, h.Control, false)
-	require.Equal(t, leaseDuration, w.Control.Record().Duration, "one missing answer does not make the store slow")
+	first := h.RenewAt(0)
+	lost := func(sent time.Time) {
+		w := h.Renew(sent, h.Control, false)
+		require.Equal(t, leaseDuration, w.Control.Record().Duration, "a missing answer does not make the store slow")
+		require.Equal(t, NotStored, h.HandleResult(sent.Add(w.timeout), Result{write: w, err: store.ErrUnknown}))
+	}
+	lost(first)
+	second := h.RenewAt(0)
+	require.True(t, h.Valid(second.Add(100*time.Millisecond)), "the second write at %s is answered before the lease ends", second.Sub(start))
+	lost(second)
+	third := h.RenewAt(0)
+	require.Less(t, third.Sub(first), leaseDuration-100*time.Millisecond, "others may claim the lease a lease time after the last renewal")
+	w := h.Renew(third, h.Control, false)
 	require.Equal(t, slowWriteTimeout, w.timeout)
-	require.Equal(t, Stored, h.HandleResult(retry, Commit(context.Background(), tab, w)))
+	require.Equal(t, Stored, h.HandleResult(third, Commit(context.Background(), tab, w)))
 }
 
 // Guards against an owner that does not count a renewal that took effect without
