--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -252,7 +252,7 @@
 	row, exists := v.Leases[h.Name]
 	w := Write{Control: row.Control, requested: now, timeout: h.nextTimeout(), claim: true, renews: true}
 	if h.unanswered > 0 {
-		w.timeout = slowWriteTimeout // a claim is in no hurry
+		w.timeout = slowWriteTimeout // no lease of this process ends meanwhile
 	}
 	w.Control.Share = h.cpuShare
 	w.Control.SetLease(lease.Takeover(row.Record(), h.self, h.nextDuration()))
