--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -364,17 +364,24 @@
 	require.Equal(t, []string{"a", "b"}, engaged())
 }
 
-// A cancellation that arrived while its job was being looked up was dropped, and the
-// job went on after it had been found.
-func TestCancellationOfJobThatIsLookedUpIsKept(t *testing.T) {
+// newHarnessWithUnreadJob returns a harness of a new owner that looks up the job j1,
+// of which worker a reports a run. The search has no result yet.
+func newHarnessWithUnreadJob(t *testing.T, others ...*fakeWorker) (*harness, *fakeWorker) {
 	a := newWorker("a")
 	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
-	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, others...)
 	r.holdsSearches = true
 	a.startedAt = r.now.Add(-time.Minute)
 	r.workers["a"] = a
 	r.step(r.registrations())
 	r.advance(100 * time.Millisecond)
+	return r, a
+}
+
+// A cancellation that arrived while its job was being looked up was dropped, and the
+// job went on after it had been found.
+func TestCancellationOfJobThatIsLookedUpIsKept(t *testing.T) {
+	r, a := newHarnessWithUnreadJob(t)
 	require.Equal(t, []string{"j1"}, r.search)
 	r.step(CancelRequested{Job: "j1"})
 	job := testJob("j1", simpleStep(2))
@@ -406,14 +413,7 @@
 // A job that was found after a worker had reported a run of it counted as due since
 // 1970, so that its remaining tasks came after those of all other jobs.
 func TestJobThatIsLookedUpKeepsItsObjective(t *testing.T) {
-	a := newWorker("a")
-	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
-	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
-	r.holdsSearches = true
-	a.startedAt = r.now.Add(-time.Minute)
-	r.workers["a"] = a
-	r.step(r.registrations())
-	r.advance(100 * time.Millisecond)
+	r, a := newHarnessWithUnreadJob(t)
 	job := testJob("j1", simpleStep(1))
 	job.Recovered, job.Submission.Accepted = true, r.now.Add(-time.Second).UnixMilli()
 	r.step(job, JobsSearched{IDs: r.search, OK: true})
@@ -424,14 +424,7 @@
 // Guards against a run of an unknown job that is adopted when the job is found,
 // although its worker has gone meanwhile, so that its task never runs again.
 func TestRunOfUnreadJobEndsWithItsWorker(t *testing.T) {
-	a := newWorker("a")
-	a.running = []RunReport{{Task: workload.TaskID{Job: "j1"}, Attempt: 1}}
-	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, newWorker("b"))
-	r.holdsSearches = true
-	a.startedAt = r.now.Add(-time.Minute)
-	r.workers["a"] = a
-	r.step(r.registrations())
-	r.advance(100 * time.Millisecond)
+	r, a := newHarnessWithUnreadJob(t, newWorker("b"))
 	require.Equal(t, []EngagedWorker{{ID: "a", Born: 1, Machine: "m-a"}, {ID: "b", Born: 1, Machine: "m-b"}}, r.m.Collect(1, true).Engaged)
 	a.silent = true
 	r.advance(testLease + time.Second)
