--- a/daemon/controller/jobs/cluster_test.go
+++ b/daemon/controller/jobs/cluster_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/daemon/controller/jobs/machine"
@@ -31,6 +34,7 @@
 	owners          []structs.Owner
 	workersOverride store.Workers         // replaces workerClient in new nodes if set
 	configure       func(*machine.Config) // adjusts the configuration of new nodes if set
+	nodes           []*node
 }
 
 func newTestCluster(t testing.TB, vms int, faults platform.Faults) *testCluster {
@@ -80,6 +84,7 @@
 	})
 	require.NoError(cluster.t, err)
 	n.Duty = d
+	cluster.nodes = append(cluster.nodes, n)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
@@ -162,7 +167,32 @@
 func (cluster *testCluster) waitForState(id string, state structs.JobState) structs.Job {
 	cluster.t.Helper()
 	var j structs.Job
-	require.Eventually(cluster.t, func() bool { j = cluster.job(id); return j.State == state }, time.Minute, 20*time.Millisecond,
-		"job %s: want %s", id, state)
+	inState := func() bool { j = cluster.job(id); return j.State == state }
+	if !assert.Eventually(cluster.t, inState, time.Minute, 20*time.Millisecond, "job %s: want %s", id, state) {
+		cluster.logJob(id)
+		cluster.t.FailNow()
+	}
 	return j
 }
+
+// logJob logs the row of a job, its runs at the workers, and the state of all
+// nodes, so that the failure of a test that depends on timing can be traced.
+func (cluster *testCluster) logJob(id string) {
+	cluster.t.Logf("row: %+v", cluster.job(id))
+	for _, run := range cluster.server.Runs() {
+		if run.Task == id {
+			cluster.t.Logf("run: %+v", run)
+		}
+	}
+	for _, n := range cluster.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		state, err := json.Marshal(n.Dump(ctx))
+		cancel()
+		cluster.t.Logf("node: %s (%v)", state, err)
+		var values strings.Builder
+		if err := n.opts.Metrics.WriteJSON(&values); err != nil {
+			cluster.t.Logf("metrics: %v", err)
+		}
+		cluster.t.Logf("metrics: %s", values.String())
+	}
+}
