fleet: after a change of the holder, wait only for machines that may have been ordered

Cause: a new holder of the fleet's lease gave no order for 3 s, because two holders must not order one machine within that time. It also emptied the list of machines to release at once, so that a late move of the former holder could end new runs. Change: no machine is ordered before a stored row names it, and the row names it until 3 s after its last order. A successor waits for these machines only, and keeps those released that the former holder may still order. A row of an older version lacks the mark, and the wait is for all machines as before.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -44,7 +44,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		b.StopTimer()
-		pl := New(start, config(), nil, false)
+		pl := New(start, config(), Former{})
 		pl.Step(start, MachinesListed{OK: true, Machines: machines}, PoolsUpdated{Pools: poolStates})
 		for _, m := range pl.machines {
 			m.plan = nil
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,8 +42,12 @@
 // safe for concurrent use.
 type Planner struct {
 	cfg               Config
-	firstOrderAt      time.Time // no orders are issued earlier
-	now               time.Time // time of the current call of Step
+	firstOrderAt      time.Time            // no orders are issued earlier
+	formerRelease     map[string]bool      // machines that the former holder may still order; released until formerUntil
+	formerOrdered     map[string]bool      // machines that the former holder has ordered recently; not ordered until formerUntil
+	formerUntil       time.Time            // end of HolderChange after the takeover
+	orderedAt         map[string]time.Time // by machine: when the last order was issued or its result arrived
+	now               time.Time            // time of the current call of Step
 	machines          map[string]*machine
 	machineList       []*machine // sorted by ID
 	pools             map[string]*pool
@@ -114,18 +118,37 @@
 	statusPending bool            // a status is being stored
 }
 
-// New returns a planner for a new holder of the fleet's lease. upkeepStarted
-// lists for each wave the machines whose upkeep was started by earlier holders.
-// successor reports that there was an earlier holder, whose last order may be
-// recent.
-func New(now time.Time, cfg Config, upkeepStarted map[int][]string, successor bool) *Planner {
+// Former is what the fleet's row says of the former holder of the lease. The zero
+// value stands for a fleet that has had none.
+type Former struct {
+	Exists        bool
+	UpkeepStarted map[int][]string // by wave: machines whose upkeep was started by earlier holders
+	// OrdersListed reports that Release and Ordered name all machines that the
+	// former holder may have ordered within HolderChange.
+	OrdersListed bool
+	Release      []string // see MachinesToRelease
+	Ordered      []string // see RecentlyOrdered
+}
+
+// New returns a planner for a new holder of the fleet's lease. Two holders must not
+// order the same machine within HolderChange, so the machines that the former holder
+// may have ordered wait for that long. Those among them that it may still order with a
+// late call remain released, so that no runs are started there.
+func New(now time.Time, cfg Config, former Former) *Planner {
 	pl := &Planner{
-		cfg: cfg, firstOrderAt: now, machines: map[string]*machine{}, pools: map[string]*pool{}, waves: map[int]*wave{},
+		cfg: cfg, firstOrderAt: now, formerRelease: map[string]bool{}, formerOrdered: map[string]bool{}, formerUntil: now.Add(cfg.HolderChange),
+		orderedAt: map[string]time.Time{}, machines: map[string]*machine{}, pools: map[string]*pool{}, waves: map[int]*wave{},
+	}
+	if former.Exists && !former.OrdersListed {
+		pl.firstOrderAt = pl.formerUntil
+	}
+	for _, id := range former.Release {
+		pl.formerRelease[id] = true
 	}
-	if successor {
-		pl.firstOrderAt = now.Add(cfg.HolderChange)
+	for _, id := range former.Ordered {
+		pl.formerOrdered[id] = true
 	}
-	for number, ids := range upkeepStarted {
+	for number, ids := range former.UpkeepStarted {
 		w := pl.wave(number)
 		for _, id := range ids {
 			w.upkeepStarted[id] = true
@@ -151,6 +174,10 @@
 		pl.apply(e)
 	}
 	pl.requestList()
+	if !now.Before(pl.formerUntil) {
+		clear(pl.formerRelease)
+		clear(pl.formerOrdered)
+	}
 	if pl.listReceived && !now.Before(pl.firstOrderAt) {
 		pl.finishPlans()
 		pl.recountPools()
@@ -265,17 +292,48 @@
 }
 
 // MachinesToRelease returns the machines that the owners of their pools must
-// release. The caller stores them in the fleet's row.
+// release, sorted. The caller stores them in the fleet's row. No machine is ordered
+// before a row that names it is stored.
 func (pl *Planner) MachinesToRelease() []string {
 	var ids []string
 	for _, m := range pl.machineList {
-		if m.plan != nil && !m.plan.usable {
+		if m.plan != nil && !m.plan.usable && !pl.formerRelease[m.ID] {
 			ids = append(ids, m.ID)
 		}
 	}
+	for id := range pl.formerRelease {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
 	return ids
 }
 
+// RecentlyOrdered returns the machines that were ordered within HolderChange and that
+// MachinesToRelease does not name any more, sorted. The caller stores them in the
+// fleet's row together with those.
+func (pl *Planner) RecentlyOrdered() []string {
+	var ids []string
+	for id, at := range pl.orderedAt {
+		m := pl.machines[id]
+		if pl.now.Sub(at) >= pl.cfg.HolderChange {
+			delete(pl.orderedAt, id)
+		} else if m == nil || m.plan == nil || m.plan.usable {
+			ids = append(ids, id)
+		}
+	}
+	for id := range pl.formerOrdered {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// available reports whether the machine is up, has no plan yet and waits for no order
+// of the former holder.
+func (pl *Planner) available(m *machine) bool {
+	return m.plan == nil && m.State == workload.MachineUp && !pl.formerRelease[m.ID] && !pl.formerOrdered[m.ID]
+}
+
 // UpkeepStarted returns for each wave the machines whose upkeep was started or
 // refused for good. The caller stores them in the fleet's row.
 func (pl *Planner) UpkeepStarted() map[int][]string {
@@ -368,20 +426,22 @@
 			pl.emit(MoveMachine{Token: pl.cfg.Token, Machine: m.ID, Pool: p.targetPool})
 		}
 		p.orderPending, p.formerWorker = true, m.Worker
+		pl.orderedAt[m.ID] = pl.now
 	}
 }
 
-// isReleased reports whether no tasks run on the machine and its pool's owner
-// does not start any there.
+// isReleased reports whether no tasks run on the machine, its pool's owner does not
+// start any there, and the fleet's row names it, from which a successor learns that it
+// may have been ordered.
 func (pl *Planner) isReleased(m *machine) bool {
 	p := pl.pools[m.Pool]
-	if p == nil {
+	if p == nil || m.plan.rowVersion == 0 {
 		return false
 	}
 	if p.Standby {
 		return true // machines in a standby pool run no workers
 	}
-	if !p.Owned || m.plan.rowVersion == 0 || p.Status.ReleaseVersion < m.plan.rowVersion {
+	if !p.Owned || p.Status.ReleaseVersion < m.plan.rowVersion {
 		return false
 	}
 	if m.statusKnown {
@@ -415,6 +475,7 @@
 	}
 	p := m.plan
 	p.orderPending = false
+	pl.orderedAt[m.ID] = pl.now
 	p.retryAt = pl.now.Add(orderRetryInterval)
 	pl.emit(Decision{What: "machine-ordered", Machine: m.ID, Pool: p.targetPool, Wave: p.wave, Why: e.Result.String()})
 	switch e.Result {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -33,7 +33,7 @@
 }
 
 func newHarness(successor bool) *harness {
-	h := &harness{planner: New(start, config(), nil, successor), now: start, pools: map[string]Pool{}}
+	h := &harness{planner: New(start, config(), Former{Exists: successor}), now: start, pools: map[string]Pool{}}
 	h.pools["p"] = Pool{Owned: true, Status: engine.Status{LargestMachine: 16000}}
 	h.pools["spare"] = Pool{Standby: true}
 	return h
@@ -61,7 +61,13 @@
 }
 
 func (h *harness) step(events ...Event) {
-	events = append(events, PoolsUpdated{Pools: h.pools})
+	h.apply(append(events, PoolsUpdated{Pools: h.pools})...)
+	h.version++
+	h.apply(RowStored{Version: h.version, Machines: h.planner.MachinesToRelease()})
+}
+
+// apply passes events to the planner and answers its actions.
+func (h *harness) apply(events ...Event) {
 	for len(events) > 0 {
 		actions := h.planner.Step(h.now, events...)
 		events = nil
@@ -81,8 +87,6 @@
 			}
 		}
 	}
-	h.version++
-	h.planner.Step(h.now, RowStored{Version: h.version, Machines: h.planner.MachinesToRelease()})
 }
 
 func (h *harness) advance(d time.Duration) {
@@ -186,6 +190,66 @@
 	require.Len(t, h.upkeeps, 1)
 }
 
+// formerHarness is a harness whose planner follows a holder that has ordered m1, and
+// that may still order m2.
+func formerHarness() *harness {
+	h := newHarness(true)
+	h.planner = New(start, config(), Former{Exists: true, OrdersListed: true, Release: []string{"m2"}, Ordered: []string{"m1"}})
+	h.pools["p"] = Pool{} // needs no machines
+	for _, id := range []string{"m1", "m2", "m3"} {
+		h.addMachine(id, "spare", "")
+	}
+	return h
+}
+
+// After a change of the holder no machine was moved for 3 s, in which a pool at its
+// peak got none. Only machines that the former holder may have ordered have to wait.
+func TestNewHolderOrdersOtherMachinesAtOnce(t *testing.T) {
+	h := formerHarness()
+	h.step(waveRequested(3, "m1", "m2", "m3"))
+	h.advance(200 * time.Millisecond)
+	require.Equal(t, []StartUpkeep{{Token: 1, Machine: "m3", Wave: 1}}, h.upkeeps)
+	h.advance(2600 * time.Millisecond)
+	require.Len(t, h.upkeeps, 1, "m1 and m2 wait for HolderChange")
+	h.advance(400 * time.Millisecond)
+	require.Len(t, h.upkeeps, 3)
+}
+
+// A new holder emptied the list of machines to release at once, so that a late move
+// of the former holder ended new runs.
+func TestNewHolderKeepsReleaseOfFormerHolder(t *testing.T) {
+	h := formerHarness()
+	h.step()
+	require.Equal(t, []string{"m2"}, h.planner.MachinesToRelease())
+	require.Equal(t, []string{"m1"}, h.planner.RecentlyOrdered())
+	h.advance(config().HolderChange)
+	require.Empty(t, h.planner.MachinesToRelease())
+	require.Empty(t, h.planner.RecentlyOrdered())
+}
+
+// A successor learns from the row which machines may have been ordered, so no order
+// may precede the row that names its machine, and the row has to name it for as long
+// as the successor must not order it.
+func TestRowNamesMachinesThatMayHaveBeenOrdered(t *testing.T) {
+	h := newHarness(false)
+	h.pools["p"] = Pool{} // needs no machines
+	h.addMachine("m1", "spare", "")
+	h.apply(waveRequested(1, "m1"), PoolsUpdated{Pools: h.pools})
+	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
+	require.Empty(t, h.upkeeps, "the row is not stored yet")
+	h.apply(RowStored{Version: 1, Machines: []string{"m1"}})
+	require.Len(t, h.upkeeps, 1)
+	for range 29 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.machines[0].Worker = "new"
+		h.step()
+		require.Contains(t, append(h.planner.MachinesToRelease(), h.planner.RecentlyOrdered()...), "m1")
+	}
+	h.advance(300 * time.Millisecond)
+	require.Empty(t, h.planner.MachinesToRelease())
+	require.Empty(t, h.planner.RecentlyOrdered())
+}
+
 // A pool that is short of machines must get one of the standby pool.
 func TestGrowingPoolGetsStandbyMachine(t *testing.T) {
 	h := newHarness(false)
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -13,7 +13,7 @@
 
 // Machines that were ordered only after a peak had started arrived 2 s late.
 func TestPeakForecastUsesPeriodOfOtherPools(t *testing.T) {
-	pl := New(start, config(), nil, false)
+	pl := New(start, config(), Former{})
 	first, second := &pool{name: "a"}, &pool{name: "b"}
 	pl.pools["a"], pl.pools["b"], pl.poolNames = first, second, []string{"a", "b"}
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/carobwharf/carobwharf/workload"
 )
 
 // Sizing of pools.
@@ -155,7 +153,7 @@
 // donorMachines.
 func (pl *Planner) planMovesTo(p *pool, n int, standby string) {
 	for _, m := range pl.machineList {
-		if n > 0 && m.Pool == standby && m.available() {
+		if n > 0 && m.Pool == standby && pl.available(m) {
 			pl.planMove(m, p.name, "short of machines")
 			n--
 		}
@@ -171,16 +169,13 @@
 	}
 }
 
-// available reports whether the machine is up and has no plan yet.
-func (m *machine) available() bool { return m.plan == nil && m.State == workload.MachineUp }
-
 // donorMachines returns the idle machines of other pools that can donate one.
 // Machines of the pool that was short of machines most recently come first.
 func (pl *Planner) donorMachines(to *pool, standby string) []*machine {
 	var donors []*machine
 	for _, m := range pl.machineList {
 		from := pl.pools[m.Pool]
-		if from == nil || from == to || m.Pool == standby || !m.available() || !m.statusKnown || !m.status.Usable || m.status.Runs > 0 {
+		if from == nil || from == to || m.Pool == standby || !pl.available(m) || !m.statusKnown || !m.status.Usable || m.status.Runs > 0 {
 			continue
 		}
 		if pl.canDonate(from) {
@@ -210,7 +205,7 @@
 func (pl *Planner) planMovesToStandby(p *pool, n int, standby string) {
 	var idle []*machine
 	for _, m := range pl.machineList {
-		if m.Pool == p.name && m.available() && m.statusKnown && m.status.Runs == 0 {
+		if m.Pool == p.name && pl.available(m) && m.statusKnown && m.status.Runs == 0 {
 			idle = append(idle, m)
 		}
 	}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/carobwharf/carobwharf/workload"
 )
 
 // drainTime is the time allowed to drain a busy machine: its long-running
@@ -88,7 +86,7 @@
 	var candidates []*machine
 	for _, id := range w.Machines {
 		m := pl.machines[id]
-		if m != nil && m.plan == nil && !w.upkeepStarted[id] && m.State == workload.MachineUp {
+		if m != nil && pl.available(m) && !w.upkeepStarted[id] {
 			candidates = append(candidates, m)
 		}
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -236,7 +236,7 @@
 		d.planner = fleet.New(now, fleet.Config{
 			Token: d.holder.Control.Token, HolderChange: d.Bounds.HolderChange, MoveTime: d.Bounds.MoveTime,
 			UpkeepTime: d.Bounds.UpkeepTime, MaxLease: d.Bounds.MaxLease,
-		}, d.holder.FormerControl.Kept, d.holder.Control.Token > 1)
+		}, formerHolder(d.holder))
 		d.addViewEvents()
 	case holder.Stored:
 		if d.planner != nil {
@@ -247,6 +247,12 @@
 	}
 }
 
+// formerHolder returns what the fleet's row says of the holder before h.
+func formerHolder(h *holder.Holder) fleet.Former {
+	c := h.FormerControl
+	return fleet.Former{Exists: h.Control.Token > 1, UpkeepStarted: c.Kept, OrdersListed: c.Listed, Release: c.Release, Ordered: c.Ordered}
+}
+
 // runDue claims the lease, runs the planner and writes the fleet's row when these
 // are due. It returns the time after which it must be called again.
 func (d *Duty) runDue(ctx context.Context) time.Duration {
@@ -271,7 +277,8 @@
 	}
 	c := d.holder.Control
 	if d.planner != nil {
-		c.Release, c.Due, c.Kept = d.planner.MachinesToRelease(), d.planner.UpkeepPending(), d.planner.UpkeepStarted()
+		c.Release, c.Ordered, c.Listed = d.planner.MachinesToRelease(), d.planner.RecentlyOrdered(), true
+		c.Due, c.Kept = d.planner.UpkeepPending(), d.planner.UpkeepStarted()
 	}
 	d.releaseRequested = c.Release
 	d.startCommit(ctx, d.holder.Renew(now, c, d.releasing))
--- a/rows/work.go
+++ b/rows/work.go
@@ -44,6 +44,8 @@
 	Waiting map[string]int   `json:",omitempty"` // by queue: number of the pool's jobs without a started task
 	Queues  []string         `json:",omitempty"` // queues of the pool's open jobs, as named by store.WorkQueue
 	Release []string         `json:",omitempty"` // machines that the holder of the fleet's lease asks the pools to free of work
+	Ordered []string         `json:",omitempty"` // other machines that the holder of the fleet's lease has ordered recently
+	Listed  bool             `json:",omitempty"` // Release and Ordered name all machines that may have been ordered recently
 	Due     []string         `json:",omitempty"` // machines whose upkeep has not begun
 	Kept    map[int][]string `json:",omitempty"` // by wave: machines whose upkeep has begun
 }
