node/fleet: check the lease right before an order for a machine is sent

Cause: the lease was checked when the planner decided on an order; a process that was paused between that and the call sent it afterwards. Where the machine service does not check tokens, nothing else stops such an order from ending the runs on a machine that a successor has moved. Change: the goroutine that makes the call compares the steady clock with the end of the lease, and reports the order as not sent.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -315,13 +316,9 @@
 			d.postResult(ctx, fleet.MachinesListed{OK: err == nil, Machines: list})
 		})
 	case fleet.MoveMachine:
-		d.callPool.Go(func() {
-			d.postOrderResult(ctx, a.Machine, d.Service.Move(ctx, a.Token, a.Machine, a.Pool))
-		})
+		d.startOrder(ctx, a.Machine, func() error { return d.Service.Move(ctx, a.Token, a.Machine, a.Pool) })
 	case fleet.StartUpkeep:
-		d.callPool.Go(func() {
-			d.postOrderResult(ctx, a.Machine, d.Service.Upkeep(ctx, a.Token, a.Machine, a.Wave))
-		})
+		d.startOrder(ctx, a.Machine, func() error { return d.Service.Upkeep(ctx, a.Token, a.Machine, a.Wave) })
 	case fleet.StoreWaveStatus:
 		d.callPool.Go(func() {
 			callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -341,6 +338,23 @@
 	}
 }
 
+// errLeaseEnded is the result of an order that was not sent.
+var errLeaseEnded = fmt.Errorf("%w: the lease ended before the order was sent", store.ErrUnavailable)
+
+// startOrder sends an order for a machine and posts its result. The validity of the
+// lease is checked right before it is sent, because the process may have been paused
+// since the order was decided, and the machine service may not check tokens.
+func (d *Duty) startOrder(ctx context.Context, machine string, send func() error) {
+	validUntil := d.holder.ValidUntil()
+	d.callPool.Go(func() {
+		err := errLeaseEnded
+		if steady.Now().Before(validUntil) {
+			err = send()
+		}
+		d.postOrderResult(ctx, machine, err)
+	})
+}
+
 // postOrderResult maps the error of an order to its result and posts it.
 func (d *Duty) postOrderResult(ctx context.Context, machine string, err error) {
 	result := fleet.Done
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/fleet"
+	"github.com/carobwharf/carobwharf/internal/steady"
+	"github.com/carobwharf/carobwharf/metrics"
+	"github.com/carobwharf/carobwharf/node/board"
+	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/store"
 )
 
@@ -27,3 +32,49 @@
 	d.execute(context.Background(), fleet.StoreWaveStatus{Wave: 1, Done: true})
 	require.Equal(t, fleet.WaveStatusStored{Wave: 1, Done: true}, <-d.results.C())
 }
+
+// storedTable is a store.Table in which each write succeeds.
+type storedTable struct{ store.Table }
+
+func (storedTable) Commit(_ context.Context, ops []store.Op) ([]uint64, error) {
+	return make([]uint64, len(ops)), nil
+}
+
+// movedMachines is a Service that counts moves.
+type movedMachines struct {
+	Service
+	moves int
+}
+
+func (m *movedMachines) Move(context.Context, uint64, string, string) error {
+	m.moves++
+	return nil
+}
+
+// A process that is paused between the decision on an order and its sending must not
+// send it after the end of its lease: where tokens are not checked, nothing else keeps
+// the order from ending the runs on a machine that a successor has given to a pool.
+func TestOrderIsNotSentAfterLease(t *testing.T) {
+	service := &movedMachines{}
+	d := New(Options{Self: "n1", Service: service, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
+	move := func() fleet.OrderResult {
+		d.execute(context.Background(), fleet.MoveMachine{Machine: "m1", Pool: "p"})
+		return (<-d.results.C()).(fleet.OrderResult)
+	}
+	claim := func(requested time.Time) {
+		view := &board.View{LeasesReadAt: requested}
+		w := d.holder.Claim(requested, view)
+		require.Equal(t, holder.Acquired, d.holder.HandleResult(requested, holder.Commit(context.Background(), storedTable{}, w)))
+	}
+	claim(steady.Now().Add(-time.Minute))
+	require.Equal(t, fleet.Unreached, move().Result)
+	require.Zero(t, service.moves)
+
+	d.holder.Drop(steady.Now())
+	require.Equal(t, fleet.Unreached, move().Result, "the lease is not held")
+
+	d.holder = holder.New(store.ControlFleet, "n1", 1, hclog.NewNullLogger())
+	claim(steady.Now())
+	require.Equal(t, fleet.Done, move().Result)
+	require.Equal(t, 1, service.moves)
+}
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -175,6 +175,15 @@
 // Valid reports whether the lease is held at now, a time of package steady.
 func (h *Holder) Valid(now time.Time) bool { return h.State == Held && h.lease.Valid(now) }
 
+// ValidUntil returns the time until which the lease is held unless it is renewed, or
+// the zero time if it is not held.
+func (h *Holder) ValidUntil() time.Time {
+	if h.State != Held {
+		return time.Time{}
+	}
+	return h.lease.Until()
+}
+
 // ValidWithin reports whether the lease is held at now, or ended less than overrun
 // ago and no other process is known to have taken it.
 func (h *Holder) ValidWithin(now time.Time, overrun time.Duration) bool {
