engine: empty workers in the order in which their release was asked for

Cause: workers to be released were emptied in the order of their IDs. Change: draining workers first, then by the time since which they leave.

--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -50,6 +50,7 @@
 	toRelease       map[string]bool         // machines that the fleet's owner wants free of work
 	releaseVersion  uint64                  // version of the fleet's row that toRelease comes from
 	upcomingRelease map[string]bool         // machines that must be released later
+	leavingWorkers  []*worker               // reused by evacuate
 	reserved        map[*worker]bool        // workers kept free for long-running tasks during this placement pass
 	formerWorkers   map[string]formerWorker // workers that the former owner may have used, by ID
 	silentFormer    []string                // those of them that did not answer before their leases had expired
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -91,12 +91,34 @@
 }
 
 // evacuate stops runs that must move off workers that are draining or to be
-// released.
+// released. Workers that have to be empty first go first: the long-running tasks of a
+// step move one by one, and in another order a worker could wait for those of all
+// others.
 func (m *Scheduler) evacuate(now time.Time) {
+	leaving := m.leavingWorkers[:0]
 	for _, w := range m.sortedWorkers {
 		if !w.Draining && !m.toRelease[w.Machine] {
+			w.leavingSince = time.Time{}
 			continue
 		}
+		if w.leavingSince.IsZero() {
+			w.leavingSince = now
+		}
+		if len(w.runs) > 0 {
+			leaving = append(leaving, w)
+		}
+	}
+	m.leavingWorkers = leaving
+	slices.SortStableFunc(leaving, func(a, b *worker) int {
+		if a.Draining != b.Draining {
+			if a.Draining {
+				return -1
+			}
+			return 1
+		}
+		return a.leavingSince.Compare(b.leavingSince)
+	})
+	for _, w := range leaving {
 		for i := 0; i < len(w.runs); i++ {
 			r := w.runs[i]
 			if r.state != running || r.task.step.occ.job.state.Ended() {
@@ -107,6 +129,7 @@
 			}
 		}
 	}
+	clear(leaving) // the buffer must not keep workers that are gone
 }
 
 func (m *Scheduler) mustMove(now time.Time, w *worker, r *run) bool {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -82,6 +82,7 @@
 	holdPending      bool // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
+	leavingSince     time.Time // since when it is draining or to be released; zero: it is not
 	releaseReported  bool      // the load row reports its machine as released
 	suspect          bool      // does not answer calls; gets no starts and no lease extensions
 	unansweredOrders int       // orders without an answer since the last answered call
