fleet: leave a quarter of a wave's time for disturbances

Cause: machines with long-running tasks were drained at the pace that just meets the deadline of a wave. Any outage of the fleet's owner made it late. Change: drains are planned for the first three quarters of the time.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -11,6 +11,10 @@
 // tasks are moved one by one, and its finite tasks run to their end.
 const drainTime = 6 * time.Second
 
+// waveReserve is the part of a wave's time that is left for an outage of the fleet's
+// owner and for tasks that move slowly.
+const waveReserve = 0.25
+
 // planWaves plans upkeep. Idle machines are planned as soon as their pool can
 // spare them. Machines with long-running tasks take long to drain, so a few at
 // a time are planned from the start of the wave.
@@ -73,7 +77,8 @@
 			drains[m.Pool]++
 		}
 	}
-	remaining := max(time.Second, w.Since.Add(w.Within).Sub(pl.now)-drainTime)
+	planned := time.Duration((1 - waveReserve) * float64(w.Within))
+	remaining := max(time.Second, w.Since.Add(planned).Sub(pl.now)-drainTime)
 	for pool, machines := range drains {
 		drains[pool] = max(1, int(math.Ceil(float64(machines)*float64(drainTime)/float64(remaining))))
 	}
