engine, fleet: don't keep machines for late work that others need to be in time

Cause: a pool's load counted jobs that could not meet their objective any more. Change: the load row tells how much of the shortfall and of the used capacity is late. Sizes follow the work that can be in time; late work keeps machines until another pool needs them, gets those that only the standby pool has, and donors may be busy with late finite tasks, which end before the move.

--- a/engine/late_test.go
+++ b/engine/late_test.go
@@ -33,3 +33,23 @@
 	require.NotEmpty(t, r.stops)
 	require.Equal(t, "b", r.stops[0].Incarnation.ID)
 }
+
+// The fleet's owner can't tell whether a pool needs machines to be in time if work
+// that is late already looks like any other.
+func TestStatusReportsLateWorkApart(t *testing.T) {
+	a := newWorker("a")
+	a.stalled = true
+	r := newHarness(t, 1, nil, a)
+	r.step(testJob("j1", simpleStep(20)))
+	s := r.m.Status(r.now)
+	require.Equal(t, 4000, s.Shortfall)
+	require.Zero(t, s.LateShortfall)
+	require.Zero(t, s.LateUsed)
+	r.now = r.now.Add(2500 * time.Millisecond) // the objective is 2.2 s
+	r.m.needsPlacement = true
+	r.step()
+	s = r.m.Status(r.now)
+	require.Equal(t, 4000, s.Shortfall)
+	require.Equal(t, 4000, s.LateShortfall)
+	require.Equal(t, 16000, s.LateUsed)
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -52,7 +52,7 @@
 		return
 	}
 	m.dropEndedJobs()
-	m.needsPlacement, m.shortfall, m.unplacedSteps = false, 0, 0
+	m.needsPlacement, m.shortfall, m.lateShortfall, m.unplacedSteps = false, 0, 0, 0
 	var unplaceable []placement.Size
 	clear(m.reserved)
 	list := m.candidates(now)
@@ -140,15 +140,20 @@
 	if c.urgency == bestEffort {
 		return
 	}
+	lacking := 0
 	if m.allIdleCanStart(now, c.step) {
-		m.shortfall += c.step.idleTasks * c.step.spec.Size.MilliCores
-		return
-	}
-	for _, t := range c.step.tasks {
-		if m.canStart(now, t) {
-			m.shortfall += c.step.spec.Size.MilliCores
+		lacking = c.step.idleTasks * c.step.spec.Size.MilliCores
+	} else {
+		for _, t := range c.step.tasks {
+			if m.canStart(now, t) {
+				lacking += c.step.spec.Size.MilliCores
+			}
 		}
 	}
+	m.shortfall += lacking
+	if c.urgency == late || c.urgency == overdue {
+		m.lateShortfall += lacking
+	}
 }
 
 // candidates returns the steps with waiting tasks in placement order.
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -56,6 +56,7 @@
 	silentFormer    []string                // those of them that did not answer before their leases had expired
 	tookOverAt      time.Time               // zero once the end of the wait for formerWorkers is logged
 	shortfall       int                     // thousandths of a core that waiting tasks lack
+	lateShortfall   int                     // part of shortfall of tasks whose jobs can't meet their objective any more
 	storedLoad      int                     // load in the last load row written, in thousandths of a core
 	needsPlacement  bool                    // something that placement depends on has changed
 	waitingSteps    int                     // number of candidates in the last placement pass
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -424,6 +424,8 @@
 // state dump.
 type Status struct {
 	Shortfall      int             `json:"short,omitempty"`  // thousandths of a core that waiting tasks lack
+	LateShortfall  int             `json:"lshort,omitempty"` // part of Shortfall of tasks whose jobs can't meet their objective any more
+	LateUsed       int             `json:"lused,omitempty"`  // thousandths of a core that runs of such jobs take
 	LongRunning    int             `json:"last,omitempty"`   // thousandths of a core that long-running tasks take
 	Spread         int             `json:"spread,omitempty"` // number of machines that the long-running step with the widest spread needs
 	Machines       []MachineStatus `json:"machines,omitempty"`
@@ -469,7 +471,7 @@
 
 // Status returns the state of the pool at now.
 func (m *Scheduler) Status(now time.Time) Status {
-	s := Status{ReleaseVersion: m.releaseVersion, Shortfall: m.shortfall, Spread: m.widestSpread()}
+	s := Status{ReleaseVersion: m.releaseVersion, Shortfall: m.shortfall, LateShortfall: m.lateShortfall, Spread: m.widestSpread()}
 	for _, w := range m.sortedWorkers {
 		if !w.registered || w.gone {
 			continue
@@ -478,8 +480,11 @@
 			s.LargestMachine = max(s.LargestMachine, w.Capacity.MilliCores)
 		}
 		for _, r := range w.runs {
-			if r.task.step.spec.LongRunning {
-				s.LongRunning += r.task.step.demand().MilliCores
+			switch step := r.task.step; {
+			case step.spec.LongRunning:
+				s.LongRunning += step.demand().MilliCores
+			case now.After(step.occ.objective()):
+				s.LateUsed += step.demand().MilliCores
 			}
 		}
 		s.Machines = append(s.Machines, MachineStatus{
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -27,18 +27,28 @@
 )
 
 // recordLoad appends a sample of the current load, which includes the demand of
-// waiting tasks, and drops samples older than growthWindow.
+// waiting tasks, and drops samples older than growthWindow. Work that is late already
+// does not count: in a flood it would keep the machines that other pools need to be in
+// time.
 func (p *pool) recordLoad(now time.Time) {
-	load := p.Status.Shortfall
+	load := p.Status.Shortfall - p.lateLoad()
 	for _, m := range p.Status.Machines {
 		load += m.Used
 	}
+	load = max(0, load)
 	p.loadSamples = append(p.loadSamples, loadSample{at: now, load: load})
 	for now.Sub(p.loadSamples[0].at) > growthWindow {
 		p.loadSamples = p.loadSamples[1:]
 	}
 }
 
+// lateLoad returns the part of the load of jobs that can't meet their objective any
+// more.
+func (p *pool) lateLoad() int { return p.Status.LateShortfall + p.Status.LateUsed }
+
+// shortInTime reports whether tasks wait whose jobs can still meet their objective.
+func (p *pool) shortInTime() bool { return p.Status.Shortfall > p.Status.LateShortfall }
+
 // expectedLoad extrapolates the growth of the load and returns the load that is
 // expected after the given time, at most twice the current one.
 func (p *pool) expectedLoad(after time.Duration) int {
@@ -89,7 +99,7 @@
 		case target > p.size:
 			p.lastShortAt, p.surplusSince = pl.now, time.Time{}
 			pl.planMovesTo(p, target-p.size, standby)
-		case p.size <= max(target, minimum) || standby == "":
+		case p.size <= max(target, minimum) || p.Status.LateShortfall > 0 || standby == "":
 			p.surplusSince = time.Time{}
 		case p.surplusSince.IsZero():
 			p.surplusSince = pl.now
@@ -97,6 +107,27 @@
 			pl.planMovesToStandby(p, p.size-max(target, minimum), standby)
 		}
 	}
+	for _, name := range pl.poolNames {
+		if p := pl.pools[name]; !p.Standby && p.Owned {
+			pl.planMovesForLateWork(p, capacity, standby)
+		}
+	}
+}
+
+// planMovesForLateWork moves machines of the standby pool, which no pool needs to be
+// in time, to a pool with late work.
+func (pl *Planner) planMovesForLateWork(p *pool, capacity int, standby string) {
+	if p.Status.LateShortfall == 0 {
+		return
+	}
+	load := p.loadSamples[len(p.loadSamples)-1].load + p.lateLoad()
+	n := int(math.Ceil(float64(load)/float64(capacity))) - p.size
+	for _, m := range pl.machineList {
+		if n > 0 && m.Pool == standby && pl.available(m) {
+			pl.planMove(m, p.name, "short of machines for late work")
+			n--
+		}
+	}
 }
 
 // minimumSize returns the number of machines that a pool keeps even if its load
@@ -169,20 +200,29 @@
 	}
 }
 
-// donorMachines returns the idle machines of other pools that can donate one.
-// Machines of the pool that was short of machines most recently come first.
+// donorMachines returns the machines of other pools that can donate one: first idle
+// ones, then those that are least used in pools that work off late jobs. Among idle
+// ones, machines of the pool that was short of machines most recently come first.
 func (pl *Planner) donorMachines(to *pool, standby string) []*machine {
 	var donors []*machine
 	for _, m := range pl.machineList {
 		from := pl.pools[m.Pool]
-		if from == nil || from == to || m.Pool == standby || !pl.available(m) || !m.statusKnown || !m.status.Usable || m.status.Runs > 0 {
+		if from == nil || from == to || m.Pool == standby || !pl.available(m) || !m.statusKnown || !m.status.Usable {
+			continue
+		}
+		if m.status.Runs > 0 && (m.status.LongRunning > 0 || from.lateLoad() == 0) {
 			continue
 		}
 		if pl.canDonate(from) {
 			donors = append(donors, m)
 		}
 	}
-	slices.SortStableFunc(donors, func(a, b *machine) int { return pl.pools[b.Pool].lastShortAt.Compare(pl.pools[a.Pool].lastShortAt) })
+	slices.SortStableFunc(donors, func(a, b *machine) int {
+		if c := cmp.Compare(a.status.Used, b.status.Used); c != 0 {
+			return c
+		}
+		return pl.pools[b.Pool].lastShortAt.Compare(pl.pools[a.Pool].lastShortAt)
+	})
 	return donors
 }
 
@@ -194,7 +234,7 @@
 // canDonate reports whether a pool can give a machine to another pool that is
 // short of machines.
 func (pl *Planner) canDonate(p *pool) bool {
-	if !p.Owned || p.Status.Shortfall > 0 {
+	if !p.Owned || p.shortInTime() {
 		return false
 	}
 	return p.size > max(p.targetSize, pl.minimumSize(p)*2/3)
