fleet: forecast peaks that come in turn, and keep their history for the next holder

Cause: a peak was forecast only after one pool had peaked twice, which takes a whole round of all pools, and a new holder of the fleet's lease knew no peak at all: each pool kept all its machines until its next peak. Change: when the starts of three successive peaks are evenly spaced, the next one is expected at the pool whose last peak is the oldest. The fleet's row keeps starts and sizes of the peaks.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,6 +128,7 @@
 	OrdersListed bool
 	Release      []string // see MachinesToRelease
 	Ordered      []string // see RecentlyOrdered
+	Peaks        map[string]PeakRecord
 }
 
 // New returns a planner for a new holder of the fleet's lease. Two holders must not
@@ -148,6 +149,7 @@
 	for _, id := range former.Ordered {
 		pl.formerOrdered[id] = true
 	}
+	pl.restorePeaks(now, former.Peaks)
 	for number, ids := range former.UpkeepStarted {
 		w := pl.wave(number)
 		for _, id := range ids {
@@ -271,13 +273,7 @@
 func (pl *Planner) applyPools(pools map[string]Pool) {
 	statuses := map[string]engine.MachineStatus{}
 	for name, update := range pools {
-		p := pl.pools[name]
-		if p == nil {
-			p = &pool{name: name}
-			pl.pools[name] = p
-			pl.poolNames = append(pl.poolNames, name)
-			slices.Sort(pl.poolNames)
-		}
+		p := pl.pool(name)
 		p.Pool = update
 		p.recordLoad(pl.now)
 		for _, status := range update.Status.Machines {
@@ -291,6 +287,18 @@
 	}
 }
 
+// pool returns the pool with the given name, and adds it if it is new.
+func (pl *Planner) pool(name string) *pool {
+	p := pl.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		pl.pools[name] = p
+		pl.poolNames = append(pl.poolNames, name)
+		slices.Sort(pl.poolNames)
+	}
+	return p
+}
+
 // MachinesToRelease returns the machines that the owners of their pools must
 // release, sorted. The caller stores them in the fleet's row. No machine is ordered
 // before a row that names it is stored.
--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// Forecast of peaks. The pools peak in turn with a common period, so the period
-// of a pool that has peaked twice predicts the next peak of each other pool.
+// Forecast of peaks. The pools peak in turn. Once the starts of successive peaks are
+// evenly spaced, the next one is expected after the same time at the pool whose last
+// peak is the oldest. Otherwise the period of a pool that has peaked twice predicts the
+// next peak of each other pool.
 const (
 	// peakStartLoad and peakEndLoad are the loads, as fractions of a pool's base
 	// capacity, above which a peak starts and below which it has ended.
@@ -25,6 +28,9 @@
 	forecastShare = 0.8
 	// maxPeakStarts is the number of peaks recorded for each pool.
 	maxPeakStarts = 3
+	// turnTolerance is the relative amount by which the times between three successive
+	// peaks may differ for the peaks to count as evenly spaced.
+	turnTolerance = 0.25
 )
 
 // peakHistory records the peaks of a pool.
@@ -79,16 +85,123 @@
 	return periods[len(periods)/2]
 }
 
+// lastStart returns the start of the last peak, or the zero time if there was none.
+func (h *peakHistory) lastStart() time.Time {
+	if len(h.starts) == 0 {
+		return time.Time{}
+	}
+	return h.starts[len(h.starts)-1]
+}
+
+// turn is a peak that is expected because the pools peak in turn.
+type turn struct {
+	pool *pool // nil: none is expected
+	due  time.Time
+}
+
+// nextTurn returns the peak that is expected next. None is as long as several pools
+// have not peaked yet, since any of them may be next.
+func (pl *Planner) nextTurn() turn {
+	var starts []time.Time
+	var next *pool
+	neverPeaked := 0
+	for _, name := range pl.poolNames {
+		p := pl.pools[name]
+		if p.Standby || len(p.loadSamples) == 0 { // the latter is not configured any more
+			continue
+		}
+		starts = append(starts, p.peaks.starts...)
+		if len(p.peaks.starts) == 0 {
+			neverPeaked++
+		}
+		if next == nil || p.peaks.lastStart().Before(next.peaks.lastStart()) {
+			next = p
+		}
+	}
+	slices.SortFunc(starts, time.Time.Compare)
+	n := len(starts)
+	if n < 3 || neverPeaked > 1 || next.peaks.inPeak {
+		return turn{}
+	}
+	last, former := starts[n-1].Sub(starts[n-2]), starts[n-2].Sub(starts[n-3])
+	if last < minPeakPeriod || former < minPeakPeriod || math.Abs(float64(last-former)) > turnTolerance*float64(max(last, former)) {
+		return turn{}
+	}
+	return turn{pool: next, due: starts[n-1].Add((last + former) / 2)}
+}
+
+// peakSize returns the number of machines that the pool needed in its last peak. A pool
+// that has not peaked is expected to need as many as the others on average.
+func (pl *Planner) peakSize(p *pool) int {
+	if p.peaks.previousMax > 0 {
+		return p.peaks.previousMax
+	}
+	sum, n := 0, 0
+	for _, other := range pl.pools {
+		if size := max(other.peaks.previousMax, other.peaks.currentMax); size > 0 {
+			sum, n = sum+size, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
 // forecastSize returns the number of machines that the pool is expected to need
 // for its next peak, 0 if none is due.
-func (pl *Planner) forecastSize(p *pool, period time.Duration) int {
-	n := len(p.peaks.starts)
-	if period == 0 || n == 0 || p.peaks.inPeak {
+func (pl *Planner) forecastSize(p *pool, period time.Duration, next turn) int {
+	if p.peaks.inPeak {
+		return 0
+	}
+	var due time.Time
+	switch {
+	case next.pool == p:
+		due = next.due
+	case next.pool == nil && period > 0 && len(p.peaks.starts) > 0:
+		due = p.peaks.lastStart().Add(period)
+	default:
 		return 0
 	}
-	due := p.peaks.starts[n-1].Add(period)
 	if pl.now.Before(due.Add(-pl.cfg.MoveTime-forecastLead)) || pl.now.After(due.Add(forecastExpiry)) {
 		return 0
 	}
-	return int(forecastShare * float64(p.peaks.previousMax))
+	return int(forecastShare * float64(pl.peakSize(p)))
+}
+
+// PeakRecord is what the fleet's row keeps of a pool's peaks for the next holder of
+// the lease.
+type PeakRecord struct {
+	Ages     []time.Duration // times since the starts of the last peaks
+	InPeak   bool            // the last one has not ended
+	Size     int             // number of machines needed in the last peak that has ended, or so far in the present one
+	BaseSize int             // size of the pool before its first peak
+}
+
+// Peaks returns the records of all pools that have had machines.
+func (pl *Planner) Peaks() map[string]PeakRecord {
+	records := map[string]PeakRecord{}
+	for name, p := range pl.pools {
+		if p.Standby || p.baseSize == 0 {
+			continue
+		}
+		r := PeakRecord{InPeak: p.peaks.inPeak, Size: p.peaks.previousMax, BaseSize: p.baseSize}
+		if p.peaks.inPeak {
+			r.Size = max(r.Size, p.peaks.currentMax)
+		}
+		for _, start := range p.peaks.starts {
+			r.Ages = append(r.Ages, pl.now.Sub(start))
+		}
+		records[name] = r
+	}
+	return records
+}
+
+// restorePeaks takes over the records of the former holder.
+func (pl *Planner) restorePeaks(now time.Time, records map[string]PeakRecord) {
+	for name, r := range records {
+		p := pl.pool(name)
+		p.baseSize = r.BaseSize
+		p.peaks = peakHistory{inPeak: r.InPeak, currentMax: r.Size, previousMax: r.Size}
+		for _, age := range r.Ages {
+			p.peaks.starts = append(p.peaks.starts, now.Add(-age))
+		}
+	}
 }
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -24,16 +24,78 @@
 	peak(first, 0, 15)
 	peak(second, 4, 10)
 	pl.now = at(17)
-	require.Zero(t, pl.forecastSize(second, pl.peakPeriod()), "no pool has peaked twice")
+	require.Zero(t, pl.forecastSize(second, pl.peakPeriod(), turn{}), "no pool has peaked twice")
 	peak(first, 16, 15)
 	require.Equal(t, 16*time.Second, pl.peakPeriod())
 	for s, want := range map[float64]int{17: 0, 18: 8, 20: 8, 21: 8, 22: 0} {
 		pl.now = at(s)
-		require.Equal(t, want, pl.forecastSize(second, pl.peakPeriod()), "at %v s", s)
+		require.Equal(t, want, pl.forecastSize(second, pl.peakPeriod(), turn{}), "at %v s", s)
 	}
 	second.peaks.observe(at(20), 0.9, 12)
 	pl.now = at(20)
-	require.Zero(t, pl.forecastSize(second, pl.peakPeriod()), "the peak has started")
+	require.Zero(t, pl.forecastSize(second, pl.peakPeriod(), turn{}), "the peak has started")
+}
+
+// playTurns makes pools a, b and c of four peak in turn, each for 8 s, and returns the
+// planner at 17 s, a second after the start of the third peak.
+func playTurns() (pl *Planner, at func(seconds float64) time.Time) {
+	pl = New(start, config(), Former{})
+	at = func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, name := range []string{"a", "b", "c", "d"} {
+		pl.now = start
+		p := pl.pool(name)
+		p.baseSize = 10
+		p.recordLoad(start)
+	}
+	for i, name := range []string{"a", "b", "c"} {
+		p := pl.pools[name]
+		p.peaks.observe(at(float64(8*i)), 0.9, 20)
+		if name != "c" {
+			p.peaks.observe(at(float64(8*i+8)), 0.1, 1)
+		}
+	}
+	pl.now = at(17)
+	return pl, at
+}
+
+// The last pool to peak got its machines only after its peak had started, although two
+// equal intervals between the peaks of the others had told its time.
+func TestLastPoolOfATurnIsForecast(t *testing.T) {
+	pl, at := playTurns()
+	next := pl.nextTurn()
+	require.Equal(t, turn{pool: pl.pools["d"], due: at(24)}, next)
+	for s, want := range map[float64]int{17: 0, 22: 16, 24: 16, 26: 0} {
+		pl.now = at(s)
+		require.Equal(t, want, pl.forecastSize(pl.pools["d"], 0, next), "at %v s", s)
+		require.Zero(t, pl.forecastSize(pl.pools["a"], 0, next))
+	}
+	pl.pools["d"].peaks.observe(at(24), 0.9, 20)
+	require.Equal(t, turn{pool: pl.pools["a"], due: at(32)}, pl.nextTurn())
+}
+
+// Machines must not be moved for a peak that nothing foretells: two pools may be next,
+// or the peaks are not evenly spaced.
+func TestIrregularPeaksAreNotForecast(t *testing.T) {
+	pl, at := playTurns()
+	pl.pools["c"].peaks = peakHistory{}
+	require.Nil(t, pl.nextTurn().pool)
+	pl.pools["c"].peaks.observe(at(23), 0.9, 20)
+	require.Nil(t, pl.nextTurn().pool)
+}
+
+// A new holder of the fleet's lease forgot the peaks: each pool kept all its machines
+// until its next peak, and no peak was forecast.
+func TestNewHolderKnowsPeaks(t *testing.T) {
+	former, at := playTurns()
+	pl := New(at(18), config(), Former{Exists: true, Peaks: former.Peaks()})
+	pl.now = at(18)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		pl.pool(name).recordLoad(at(18))
+	}
+	require.Equal(t, turn{pool: pl.pools["d"], due: at(25)}, pl.nextTurn(), "the record was made a second before")
+	require.Equal(t, 8, pl.minimumSize(pl.pools["a"]))
+	require.Equal(t, 10, pl.minimumSize(pl.pools["d"]))
+	require.True(t, pl.pools["c"].peaks.inPeak)
 }
 
 // Fluctuations of the load within one peak were counted as several peaks.
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -77,7 +77,7 @@
 	if capacity == 0 {
 		return
 	}
-	standby, period, fairShare := pl.standbyPool(), pl.peakPeriod(), pl.fairShare()
+	standby, period, next, fairShare := pl.standbyPool(), pl.peakPeriod(), pl.nextTurn(), pl.fairShare()
 	for _, name := range pl.poolNames {
 		p := pl.pools[name]
 		if p.Standby || !p.Owned {
@@ -94,7 +94,7 @@
 		load := p.loadSamples[len(p.loadSamples)-1].load - p.Status.LongRunning
 		p.peaks.observe(pl.now, float64(load)/float64(max(1, p.baseSize)*capacity), p.targetSize)
 		minimum := pl.minimumSize(p)
-		target := max(p.targetSize, pl.forecastSize(p, period))
+		target := max(p.targetSize, pl.forecastSize(p, period, next))
 		switch {
 		case target > p.size:
 			p.lastShortAt, p.surplusSince = pl.now, time.Time{}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -251,7 +251,40 @@
 // formerHolder returns what the fleet's row says of the holder before h.
 func formerHolder(h *holder.Holder) fleet.Former {
 	c := h.FormerControl
-	return fleet.Former{Exists: h.Control.Token > 1, UpkeepStarted: c.Kept, OrdersListed: c.Listed, Release: c.Release, Ordered: c.Ordered}
+	return fleet.Former{
+		Exists: h.Control.Token > 1, UpkeepStarted: c.Kept, OrdersListed: c.Listed, Release: c.Release, Ordered: c.Ordered,
+		Peaks: decodePeaks(time.Now(), c.Peaks),
+	}
+}
+
+// encodePeaks returns the records of peaks as they are stored. wall is the present time
+// of day: steady times of different VMs can't be compared.
+func encodePeaks(wall time.Time, records map[string]fleet.PeakRecord) map[string]rows.Peaks {
+	stored := make(map[string]rows.Peaks, len(records))
+	for name, r := range records {
+		p := rows.Peaks{InPeak: r.InPeak, Size: r.Size, Base: r.BaseSize}
+		for _, age := range r.Ages {
+			p.Starts = append(p.Starts, wall.Add(-age).UnixMilli())
+		}
+		stored[name] = p
+	}
+	return stored
+}
+
+// decodePeaks is the reverse of encodePeaks on another VM. Starts that are in the future
+// by its clock are left out.
+func decodePeaks(wall time.Time, stored map[string]rows.Peaks) map[string]fleet.PeakRecord {
+	records := make(map[string]fleet.PeakRecord, len(stored))
+	for name, p := range stored {
+		r := fleet.PeakRecord{InPeak: p.InPeak, Size: p.Size, BaseSize: p.Base}
+		for _, start := range p.Starts {
+			if age := wall.Sub(time.UnixMilli(start)); age >= 0 {
+				r.Ages = append(r.Ages, age)
+			}
+		}
+		records[name] = r
+	}
+	return records
 }
 
 // runDue claims the lease, runs the planner and writes the fleet's row when these
@@ -279,7 +312,7 @@
 	c := d.holder.Control
 	if d.planner != nil {
 		c.Release, c.Ordered, c.Listed = d.planner.MachinesToRelease(), d.planner.RecentlyOrdered(), true
-		c.Due, c.Kept = d.planner.UpkeepPending(), d.planner.UpkeepStarted()
+		c.Due, c.Kept, c.Peaks = d.planner.UpkeepPending(), d.planner.UpkeepStarted(), encodePeaks(time.Now(), d.planner.Peaks())
 	}
 	d.releaseRequested = c.Release
 	d.startCommit(ctx, d.holder.Renew(now, c, d.releasing))
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -78,3 +78,14 @@
 	require.Equal(t, fleet.Done, move().Result)
 	require.Equal(t, 1, service.moves)
 }
+
+// The starts of peaks are stored by the time of day, which may jump. A start in the
+// future must not make a forecast.
+func TestPeaksSurviveAChangeOfTheHolder(t *testing.T) {
+	wall := time.UnixMilli(1_700_000_000_000)
+	records := map[string]fleet.PeakRecord{"p": {Ages: []time.Duration{20 * time.Second, 4 * time.Second}, InPeak: true, Size: 30, BaseSize: 12}}
+	stored := encodePeaks(wall, records)
+	later := decodePeaks(wall.Add(2*time.Second), stored)["p"]
+	require.Equal(t, fleet.PeakRecord{Ages: []time.Duration{22 * time.Second, 6 * time.Second}, InPeak: true, Size: 30, BaseSize: 12}, later)
+	require.Len(t, decodePeaks(wall.Add(-10*time.Second), stored)["p"].Ages, 1)
+}
--- a/rows/work.go
+++ b/rows/work.go
@@ -48,6 +48,15 @@
 	Listed  bool             `json:",omitempty"` // Release and Ordered name all machines that may have been ordered recently
 	Due     []string         `json:",omitempty"` // machines whose upkeep has not begun
 	Kept    map[int][]string `json:",omitempty"` // by wave: machines whose upkeep has begun
+	Peaks   map[string]Peaks `json:",omitempty"` // by pool, for the next holder of the fleet's lease
+}
+
+// Peaks is what is known of the peaks of a pool's load.
+type Peaks struct {
+	Starts []int64 `json:",omitempty"` // starts of the last peaks in Unix ms, by the clock of the VM that wrote them
+	InPeak bool    `json:",omitempty"` // the last one has not ended
+	Size   int     `json:",omitempty"` // number of machines needed in a peak
+	Base   int     `json:",omitempty"` // size of the pool before its first peak
 }
 
 // Record returns the lease of the row.
