--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -181,3 +181,32 @@
 	h.advance(time.Second)
 	require.Len(t, h.moves, 4, "a replacement for the machine that is drained")
 }
+
+// A pool's surplus was moved to the standby pool, and from there to a pool that had been
+// short of machines all the time.
+func TestSurplusGoesToAPoolThatNeedsIt(t *testing.T) {
+	h := newHarness(false)
+	add := func(pool string, n int, status *engine.Status, used int) {
+		id := fmt.Sprintf("%s-%d", pool, n)
+		h.addMachine(id, pool, "w-"+id)
+		status.Machines = append(status.Machines, engine.MachineStatus{Machine: id, Worker: "w-" + id, Used: used, Runs: used / 1000, Usable: true})
+	}
+	idle, p := engine.Status{LargestMachine: 16000}, h.pools["p"]
+	for n := range 20 {
+		add("a", n, &idle, 0)
+		add("p", n, &p.Status, 8000)
+	}
+	h.pools["a"], h.pools["p"] = Pool{Owned: true, Status: idle}, p
+	h.endFirstPeak("a")
+	h.advance(surplusDelay) // the next step finds both the surplus and the shortfall
+	p.Status.Shortfall = 200000
+	h.pools["p"] = p
+	h.advance(100 * time.Millisecond)
+	toPool := 0
+	for _, id := range h.planner.MachinesToRelease() {
+		if h.planner.machines[id].plan.targetPool == "p" {
+			toPool++
+		}
+	}
+	require.Equal(t, 12, toPool, "all but two thirds of its minimum size of 12")
+}
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -77,41 +77,51 @@
 	if capacity == 0 {
 		return
 	}
-	standby, period, next, fairShare := pl.standbyPool(), pl.peakPeriod(), pl.nextTurn(), pl.fairShare()
+	standby, fairShare := pl.standbyPool(), pl.fairShare()
+	var pools []*pool // that can get and give machines
 	for _, name := range pl.poolNames {
-		p := pl.pools[name]
-		if p.Standby || !p.Owned {
-			continue
+		if p := pl.pools[name]; !p.Standby && p.Owned {
+			pools = append(pools, p)
 		}
-		p.targetSize = pl.requiredSize(p, capacity)
 	}
-	for _, name := range pl.poolNames {
-		p := pl.pools[name]
-		if p.Standby || !p.Owned {
-			continue
-		}
+	for _, p := range pools {
 		p.baseSize = max(p.baseSize, min(p.size, fairShare))
+		p.targetSize = pl.requiredSize(p, capacity)
 		load := p.loadSamples[len(p.loadSamples)-1].load - p.Status.LongRunning
 		p.peaks.observe(pl.now, float64(load)/float64(max(1, p.baseSize)*capacity), p.targetSize)
-		minimum := pl.minimumSize(p)
-		target := max(p.targetSize, pl.forecastSize(p, period, next))
-		switch {
-		case target > p.size:
-			p.lastShortAt, p.surplusSince = pl.now, time.Time{}
-			pl.planMovesTo(p, target-p.size, standby)
-		case p.size <= max(target, minimum) || p.Status.LateShortfall > 0 || standby == "":
-			p.surplusSince = time.Time{}
-		case p.surplusSince.IsZero():
-			p.surplusSince = pl.now
-		case pl.now.Sub(p.surplusSince) >= surplusDelay:
-			pl.planMovesToStandby(p, p.size-max(target, minimum), standby)
-		}
 	}
-	for _, name := range pl.poolNames {
-		if p := pl.pools[name]; !p.Standby && p.Owned {
-			pl.planMovesForLateWork(p, capacity, standby)
+	period, next := pl.peakPeriod(), pl.nextTurn()
+	for _, p := range pools {
+		p.targetSize = max(p.targetSize, pl.forecastSize(p, period, next))
+	}
+	// All pools that are short of machines come before those with a surplus, so that the
+	// surplus goes to a pool that needs it.
+	for _, p := range pools {
+		if p.targetSize > p.size {
+			p.lastShortAt = pl.now
+			pl.planMovesTo(p, p.targetSize-p.size, standby)
 		}
 	}
+	for _, p := range pools {
+		pl.planMovesOfSurplus(p, standby)
+	}
+	for _, p := range pools {
+		pl.planMovesForLateWork(p, capacity, standby)
+	}
+}
+
+// planMovesOfSurplus moves machines that a pool has not needed for surplusDelay to the
+// standby pool.
+func (pl *Planner) planMovesOfSurplus(p *pool, standby string) {
+	keep := max(p.targetSize, pl.minimumSize(p))
+	switch {
+	case p.size <= keep || p.Status.LateShortfall > 0 || standby == "":
+		p.surplusSince = time.Time{}
+	case p.surplusSince.IsZero():
+		p.surplusSince = pl.now
+	case pl.now.Sub(p.surplusSince) >= surplusDelay:
+		pl.planMovesToStandby(p, p.size-keep, standby)
+	}
 }
 
 // planMovesForLateWork moves machines of the standby pool, which no pool needs to be
