fleet: don't count a surplus while the loads of the pools are unknown

Cause: the time for which a pool has had too many machines went on while the fleet's owner had no lease and learned no loads. Change: the time starts anew after a gap of more than a second between steps. Measured: TestSurplusIsNotCountedWhileLoadsAreUnknown fails before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,9 @@
 	idleListInterval = 2 * time.Second
 	// orderRetryInterval is the minimum time between orders for one machine.
 	orderRetryInterval = 200 * time.Millisecond
+	// maxStepGap is the time between two steps after which the loads of the pools count
+	// as unknown. The holder of a valid lease steps the planner four times a second.
+	maxStepGap = time.Second
 	// returnLead is how long before the expected return of a machine its pool's
 	// owner is no longer asked to release it, so that the machine's new worker is
 	// usable as soon as it registers.
@@ -48,6 +51,7 @@
 	formerUntil       time.Time            // end of HolderChange after the takeover
 	orderedAt         map[string]time.Time // by machine: when the last order was issued or its result arrived
 	now               time.Time            // time of the current call of Step
+	loadsUnknown      bool                 // the lease was not held for a while, and what is known of the pools is from before
 	machines          map[string]*machine
 	machineList       []*machine // sorted by ID
 	pools             map[string]*pool
@@ -171,6 +175,7 @@
 // Step applies events and returns the actions to execute. The times of all
 // calls must come from one monotonic clock.
 func (pl *Planner) Step(now time.Time, events ...Event) []Action {
+	pl.loadsUnknown = now.Sub(pl.now) > maxStepGap
 	pl.now, pl.actions = now, nil
 	for _, e := range events {
 		pl.apply(e)
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -182,6 +182,26 @@
 	require.Len(t, h.moves, 4, "a replacement for the machine that is drained")
 }
 
+// While the store was away for 4 s, the holder of the fleet's lease learned no loads. On
+// the first step after that, it took the loads from before for 4 s without need and
+// moved 362 machines out of a pool at its peak.
+func TestSurplusIsNotCountedWhileLoadsAreUnknown(t *testing.T) {
+	const machines = 25
+	h := newHarness(false)
+	for n := range machines {
+		id := fmt.Sprintf("m%02d", n)
+		h.addMachine(id, "p", "w-"+id)
+		h.addStatus(engine.MachineStatus{Machine: id, Worker: "w-" + id, Usable: true})
+	}
+	h.endFirstPeak("p")
+	h.advance(time.Second)
+	h.now = h.now.Add(4 * time.Second)
+	h.advance(time.Second)
+	require.Empty(t, h.planner.MachinesToRelease())
+	h.advance(time.Second)
+	require.NotEmpty(t, h.planner.MachinesToRelease(), "the surplus has lasted for surplusDelay now")
+}
+
 // A pool's surplus was moved to the standby pool, and from there to a pool that had been
 // short of machines all the time.
 func TestSurplusGoesToAPoolThatNeedsIt(t *testing.T) {
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -115,7 +115,7 @@
 func (pl *Planner) planMovesOfSurplus(p *pool, standby string) {
 	keep := max(p.targetSize, pl.minimumSize(p))
 	switch {
-	case p.size <= keep || p.Status.LateShortfall > 0 || standby == "":
+	case p.size <= keep || p.Status.LateShortfall > 0 || standby == "" || pl.loadsUnknown:
 		p.surplusSince = time.Time{}
 	case p.surplusSince.IsZero():
 		p.surplusSince = pl.now
