fleet: bring the machines of a peak of known size at its start

Cause: a pool's size followed its load, which takes the run time of its tasks to rise, and which at most doubles in the extrapolation. Change: a peak counts as begun at 0.4 of the base capacity, and for its first 1.5 s the pool gets 0.8 of the size that peaks have had, at most twice its base.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -13,7 +13,7 @@
 const (
 	// peakStartLoad and peakEndLoad are the loads, as fractions of a pool's base
 	// capacity, above which a peak starts and below which it has ended.
-	peakStartLoad = 0.6
+	peakStartLoad = 0.4
 	peakEndLoad   = 0.3
 	// minPeakPeriod is the minimum time between the starts of two peaks. A rise
 	// of the load within it belongs to the same peak.
@@ -26,6 +26,9 @@
 	// forecastShare is the fraction of the previous peak's machines that the pool
 	// gets before the peak starts.
 	forecastShare = 0.8
+	// maxPeakFactor limits a forecast to this multiple of the pool's base size. A load
+	// beyond it is a flood, which the load itself has to show.
+	maxPeakFactor = 2
 	// maxPeakStarts is the number of peaks recorded for each pool.
 	maxPeakStarts = 3
 	// turnTolerance is the relative amount by which the times between three successive
@@ -148,11 +151,10 @@
 // forecastSize returns the number of machines that the pool is expected to need
 // for its next peak, 0 if none is due.
 func (pl *Planner) forecastSize(p *pool, period time.Duration, next turn) int {
-	if p.peaks.inPeak {
-		return 0
-	}
 	var due time.Time
 	switch {
+	case p.peaks.inPeak:
+		due = p.peaks.lastStart() // while the load rises, it does not show the size of the peak yet
 	case next.pool == p:
 		due = next.due
 	case next.pool == nil && period > 0 && len(p.peaks.starts) > 0:
@@ -163,7 +165,7 @@
 	if pl.now.Before(due.Add(-pl.cfg.MoveTime-forecastLead)) || pl.now.After(due.Add(forecastExpiry)) {
 		return 0
 	}
-	return int(forecastShare * float64(pl.peakSize(p)))
+	return int(forecastShare * min(float64(pl.peakSize(p)), maxPeakFactor*float64(p.baseSize)))
 }
 
 // PeakRecord is what the fleet's row keeps of a pool's peaks for the next holder of
