engine: ask the workers of a former owner again at once, use unresponsive ones last

Cause: a new owner asks each worker of the former one before it starts tasks of recovered jobs. And a start without an answer, which holds up its task for 1.5 s, did not keep the next ones from the same worker while others had room. Change: the first hold of such a worker times out after 150, 300, 600 ms and is repeated after 20, 40, ... 300 ms. A worker with a call without an answer in the last 3 s gets only what fits nowhere else. Measured: TestNewOwnerAsksFormerWorkersAgainAtOnce and TestWorkerThatLeavesOrdersUnansweredIsUsedLast fail before.

--- a/engine/event.go
+++ b/engine/event.go
@@ -195,6 +195,7 @@
 	StoredEnds int           // acknowledges the ends up to this number; 0: none that are not acknowledged yet
 	Deadline   int64         // end of the lease in ms on the worker's clock; 0: not extended
 	Wait       time.Duration // how long the worker may delay its answer until a run ends
+	Timeout    time.Duration // how long the call may take in addition to Wait
 }
 
 // Start orders a worker to start a run.
--- a/engine/late_test.go
+++ b/engine/late_test.go
@@ -53,3 +53,50 @@
 	require.Equal(t, 4000, s.LateShortfall)
 	require.Equal(t, 16000, s.LateUsed)
 }
+
+// With half of the orders unanswered, a new owner asked each worker of the former one
+// every 0.9 s, and did not start recovered tasks for many seconds.
+func TestNewOwnerAsksFormerWorkersAgainAtOnce(t *testing.T) {
+	a := newWorker("a")
+	a.silent = true
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}}, a)
+	old := testJob("j1", simpleStep(1))
+	old.Recovered = true
+	r.step(old)
+	r.advance(100 * time.Millisecond)
+	require.GreaterOrEqual(t, len(r.holds), 3)
+	timeouts := []time.Duration{firstHoldTimeout, 2 * firstHoldTimeout, holdTimeout}
+	for i, want := range timeouts {
+		require.Equal(t, want, r.holds[i].Timeout, "a slow worker must get the time that it needs")
+	}
+	a.silent = false
+	r.advance(holdRetryInterval + 20*time.Millisecond)
+	require.Len(t, r.starts, 1)
+	r.advance(time.Second)
+	require.Equal(t, holdTimeout, r.holds[len(r.holds)-1].Timeout)
+}
+
+// Starts at workers that leave orders unanswered held up the tasks of jobs for which
+// other workers had room.
+func TestWorkerThatLeavesOrdersUnansweredIsUsedLast(t *testing.T) {
+	a, b := newWorker("a"), newWorker("b")
+	r := newHarness(t, 1, nil, a, b)
+	a.lostStarts = 1
+	r.step(testJob("j1", simpleStep(1)))
+	require.Equal(t, "a", r.starts[0].Incarnation.ID)
+	r.now = r.now.Add(time.Millisecond)
+	r.step(testJob("j2", simpleStep(20)))
+	at := map[string]int{}
+	for _, s := range r.starts[1:] {
+		if s.Task.Job == "j2" {
+			at[s.Incarnation.ID]++
+		}
+	}
+	require.Equal(t, 16, at["b"])
+	require.Equal(t, 4, at["a"], "a worker is used as long as no other has room")
+	b.running = nil
+	r.advance(unansweredPenaltyTime)
+	started := len(r.starts)
+	r.step(testJob("j3", simpleStep(1)))
+	require.Equal(t, "a", r.starts[started].Incarnation.ID, "packed beside the tasks that it has")
+}
--- a/engine/place.go
+++ b/engine/place.go
@@ -284,7 +284,7 @@
 		if !needs.Fits(free) {
 			continue
 		}
-		score := m.score(s, t, w, free)
+		score := m.score(now, s, t, w, free)
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -315,10 +315,16 @@
 	weightLongRunning = 1_000
 	weightRelease     = 500_000
 	weightRack        = 1_000_000
+	weightUnanswered  = 5_000_000
 	weightAvoid       = 10_000_000
 )
 
-func (m *Scheduler) score(s *step, t *task, w *worker, free placement.Size) int {
+// unansweredPenaltyTime is how long after a call without an answer a worker gets only
+// tasks for which no other one has room. A start without an answer holds up its task
+// until its deadline, after which most jobs are late.
+const unansweredPenaltyTime = 3 * time.Second
+
+func (m *Scheduler) score(now time.Time, s *step, t *task, w *worker, free placement.Size) int {
 	score := -free.MilliCores
 	if s.spec.BestEffort {
 		score = free.MilliCores
@@ -332,6 +338,9 @@
 	if s.spec.DataRack != "" && w.hasLabel(s.spec.DataRack) {
 		score += weightRack
 	}
+	if now.Sub(w.lastUnanswered) < unansweredPenaltyTime {
+		score -= weightUnanswered
+	}
 	if t.avoidWorker == w.ID {
 		score -= weightAvoid
 	}
--- a/engine/run.go
+++ b/engine/run.go
@@ -224,7 +224,7 @@
 		m.markSuperseded(w)
 		return
 	case Unknown:
-		w.recordUnanswered()
+		w.recordUnanswered(now)
 		if r.state == starting {
 			r.state, r.timedOutAt = unconfirmed, now
 		}
@@ -296,7 +296,7 @@
 		r.stopAcked, w.unansweredOrders = now, 0
 		w.nextHold = times.Earlier(w.nextHold, now.Add(holdGap))
 	case Unknown:
-		w.recordUnanswered()
+		w.recordUnanswered(now)
 	case NotDelivered:
 		w.suspect = true
 	}
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -424,9 +424,9 @@
 // because of one unanswered order. Two in a row suggest that it has failed.
 func TestSingleUnansweredOrderIsTolerated(t *testing.T) {
 	w := &worker{}
-	w.recordUnanswered()
+	w.recordUnanswered(time.Unix(1000, 0))
 	require.False(t, w.suspect)
-	w.recordUnanswered()
+	w.recordUnanswered(time.Unix(1000, 0))
 	require.True(t, w.suspect)
 }
 
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -36,9 +36,17 @@
 	// tasks are started there after the end of the owner's lease. A successor fences
 	// the workers, but a worker that restarts forgets that.
 	overrunFreshness = time.Second
+	// holdTimeout is how long a hold may take in addition to its Wait.
+	holdTimeout = 600 * time.Millisecond
 	// holdRetryInterval is the time between holds of a worker that does not
 	// answer.
 	holdRetryInterval = 300 * time.Millisecond
+	// firstHoldTimeout and firstHoldRetryInterval replace holdTimeout and
+	// holdRetryInterval for the first hold of a worker that the former owner may have
+	// used. They double with each attempt. The start of recovered tasks waits for these
+	// workers, and a hold that need not wait is usually answered within 10 ms.
+	firstHoldTimeout       = 150 * time.Millisecond
+	firstHoldRetryInterval = 20 * time.Millisecond
 	// startTimeout is how long after it was sent a start may be carried out. It
 	// is longer than normal delays, and short enough that a start without an
 	// answer does not keep its task waiting for long.
@@ -86,6 +94,8 @@
 	releaseReported  bool      // the load row reports its machine as released
 	suspect          bool      // does not answer calls; gets no starts and no lease extensions
 	unansweredOrders int       // orders without an answer since the last answered call
+	lastUnanswered   time.Time // when the last call was found to have no answer
+	failedHolds      int       // holds without an answer since the last answered one
 	noRoomUntil      time.Time // no starts are sent until then, because the worker refused one for lack of room
 
 	failuresInRow    int             // failed runs without a successful one in between
@@ -224,7 +234,10 @@
 }
 
 func (m *Scheduler) sendHold(now time.Time, w *worker) {
-	h := Hold{Target: w.target(), Token: m.cfg.Token}
+	h := Hold{Target: w.target(), Token: m.cfg.Token, Timeout: holdTimeout}
+	if m.awaitsFirstAnswer(w) {
+		h.Timeout = min(holdTimeout, firstHoldTimeout<<min(w.failedHolds, maxHoldDoublings))
+	}
 	// A worker that has restarted under its ID counts its ends from 1 again and would
 	// forget ends that this owner has not seen. So an acknowledgement is not repeated
 	// once it is answered, and not sent to a worker that does not answer.
@@ -248,6 +261,15 @@
 	m.emit(h)
 }
 
+// maxHoldDoublings keeps the shifts of hold times from overflowing.
+const maxHoldDoublings = 8
+
+// awaitsFirstAnswer reports whether the start of recovered tasks waits for the worker.
+func (m *Scheduler) awaitsFirstAnswer(w *worker) bool {
+	_, former := m.formerWorkers[w.ID]
+	return former && !w.synced
+}
+
 // needsPromptAnswer reports whether the state of a run at the worker can be
 // resolved only by a hold that is answered at once.
 func (m *Scheduler) needsPromptAnswer(w *worker) bool {
@@ -266,7 +288,8 @@
 const allowedUnanswered = 1
 
 // recordUnanswered records that an order got no answer.
-func (w *worker) recordUnanswered() {
+func (w *worker) recordUnanswered(now time.Time) {
+	w.lastUnanswered = now
 	w.unansweredOrders++
 	w.suspect = w.suspect || w.unansweredOrders > allowedUnanswered
 }
@@ -302,6 +325,11 @@
 		}
 		w.suspect = true
 		w.nextHold = now.Add(holdRetryInterval)
+		if m.awaitsFirstAnswer(w) {
+			w.nextHold = now.Add(min(holdRetryInterval, firstHoldRetryInterval<<min(w.failedHolds, maxHoldDoublings)))
+		}
+		w.failedHolds++
+		w.lastUnanswered = now
 		return
 	}
 	if e.Report.Born != 0 && w.Born != 0 && e.Report.Born != w.Born {
@@ -317,7 +345,7 @@
 	// Until the worker's ends are known completely, a task that it does not list as
 	// running may have ended there.
 	first := !w.synced && !e.Report.MoreEnds
-	w.suspect, w.unansweredOrders, w.synced = false, 0, w.synced || first
+	w.suspect, w.unansweredOrders, w.failedHolds, w.synced = false, 0, 0, w.synced || first
 	w.lastEndAcked = max(w.lastEndAcked, w.ackSent)
 	w.clockMs, w.clockAt, w.lastHoldSent = e.Report.Clock, now, e.Sent
 	if w.deadline == 0 {
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -15,12 +15,6 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
-// Calls to workers.
-const (
-	// holdTimeout is how long a hold may take in addition to its Wait.
-	holdTimeout = 600 * time.Millisecond
-)
-
 // leaseOverrun is how long an owner continues after its lease has ended without
 // a renewal, so that an outage of the store does not end running jobs. It is
 // longer than most outages. During the overrun, jobsAreCurrent limits for how
@@ -123,7 +117,7 @@
 		d.load.holds.Inc(1)
 		d.callPool.Go(func() {
 			sent := steady.Now()
-			report, result, err := w.Hold(ctx, a, holdTimeout)
+			report, result, err := w.Hold(ctx, a)
 			d.recordCall("hold", result, err, a.Incarnation.ID)
 			reply(engine.HoldAnswered{Worker: a.Incarnation, Sent: sent, Result: result, Report: report})
 		})
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -67,7 +67,7 @@
 	Start(ctx context.Context, s engine.Start) (engine.Result, error)
 	Stop(ctx context.Context, s engine.Stop) (engine.Result, error)
 	Throttle(ctx context.Context, p engine.Throttle) (engine.Result, error)
-	Hold(ctx context.Context, h engine.Hold, timeout time.Duration) (engine.HoldReport, engine.Result, error)
+	Hold(ctx context.Context, h engine.Hold) (engine.HoldReport, engine.Result, error)
 	Close()
 }
 
