engine, node/pools: don't send starts and holds after a pause

Cause: an order is decided in the duty and sent by another goroutine. If the process is paused in between, the order goes out afterwards. The worker refuses it by its token or its deadline, unless it has restarted under the same ID: then it has seen no token, its clock begins anew, and an acknowledgement makes it forget ends of its new life. Measured: TestStartIsNotSentAfterAPause and TestHoldIsNotSentAfterAPause; the code before has no such check.

--- a/engine/event.go
+++ b/engine/event.go
@@ -196,6 +196,7 @@
 	Deadline   int64         // end of the lease in ms on the worker's clock; 0: not extended
 	Wait       time.Duration // how long the worker may delay its answer until a run ends
 	Timeout    time.Duration // how long the call may take in addition to Wait
+	SendBy     time.Time     // the call is not made later
 }
 
 // Start orders a worker to start a run.
@@ -208,6 +209,7 @@
 	Deadline   int64 // ms on the worker's clock; the worker refuses the start after it
 	Checkpoint string
 	Ticket     string
+	SendBy     time.Time // the call is not made later
 }
 
 // Stop orders a worker to stop a run, or to refuse it if its start has not
--- a/engine/place.go
+++ b/engine/place.go
@@ -380,7 +380,7 @@
 	j := t.step.occ.job
 	m.emit(Start{
 		Target: w.target(), Token: m.cfg.Token, Task: t.id, Attempt: attempt, Spec: j.submission.Spec,
-		Deadline: r.startDeadline, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.ID].value,
+		Deadline: r.startDeadline, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.ID].value, SendBy: now.Add(startTimeout),
 	})
 }
 
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -234,7 +234,7 @@
 }
 
 func (m *Scheduler) sendHold(now time.Time, w *worker) {
-	h := Hold{Target: w.target(), Token: m.cfg.Token, Timeout: holdTimeout}
+	h := Hold{Target: w.target(), Token: m.cfg.Token, Timeout: holdTimeout, SendBy: now.Add(startTimeout)}
 	if m.awaitsFirstAnswer(w) {
 		h.Timeout = min(holdTimeout, firstHoldTimeout<<min(w.failedHolds, maxHoldDoublings))
 	}
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -103,7 +103,9 @@
 	return remaining, deferred
 }
 
-// execute starts the call that an action requires on a goroutine of callPool.
+// execute starts the call that an action requires on a goroutine of callPool. Orders
+// are not sent after their SendBy: the process may have been paused since they were
+// decided, and a worker that has restarted meanwhile has seen no newer token.
 // Decisions are logged. If a worker has seen the token of a later owner, the
 // pool is given up.
 func (d *Duty) execute(ctx context.Context, p *pool, a engine.Action) {
@@ -117,6 +119,10 @@
 		d.load.holds.Inc(1)
 		d.callPool.Go(func() {
 			sent := steady.Now()
+			if sent.After(a.SendBy) {
+				reply(engine.HoldAnswered{Worker: a.Incarnation, Sent: sent, Result: engine.NotDelivered})
+				return
+			}
 			report, result, err := w.Hold(ctx, a)
 			d.recordCall("hold", result, err, a.Incarnation.ID)
 			reply(engine.HoldAnswered{Worker: a.Incarnation, Sent: sent, Result: result, Report: report})
@@ -125,6 +131,10 @@
 		w := d.workerClient(a.Target)
 		d.load.starts.Inc(1)
 		d.callPool.Go(func() {
+			if steady.Now().After(a.SendBy) {
+				reply(engine.StartAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: engine.NotDelivered})
+				return
+			}
 			result, err := w.Start(ctx, a)
 			d.recordCall("start", result, err, a.Incarnation.ID)
 			reply(engine.StartAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: result})
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
 	"github.com/carobwharf/carobwharf/node/follow"
@@ -412,3 +413,46 @@
 	add("later", "q", 6, true)
 	require.Equal(t, map[string]workload.Incarnation{"m": {ID: "later", Born: 6}}, r.newestOnMachines(c))
 }
+
+// orderedWorker is a Worker that records starts and panics on holds.
+type orderedWorker struct {
+	Worker
+	starts int
+}
+
+func (w *orderedWorker) Start(context.Context, engine.Start) (engine.Result, error) {
+	w.starts++
+	return engine.OK, nil
+}
+
+func (w *orderedWorker) Hold(context.Context, engine.Hold) (engine.HoldReport, engine.Result, error) {
+	panic("odd answer")
+}
+
+// executeOrder executes an order for a worker and returns its answer.
+func executeOrder(w Worker, a engine.Action) engine.Event {
+	d := newDuty()
+	d.Dial = func(string, string) Worker { return w }
+	d.execute(context.Background(), d.addPool("p"), a)
+	return (<-d.results.C()).(callAnswered).event
+}
+
+// A start that a process decided on before it was paused reached a worker that had
+// restarted under its ID meanwhile. The new life has seen no newer token, and its clock,
+// which the deadline of the start refers to, had begun anew.
+func TestStartIsNotSentAfterAPause(t *testing.T) {
+	w := &orderedWorker{}
+	answer := executeOrder(w, engine.Start{SendBy: steady.Now().Add(-time.Millisecond)})
+	require.Equal(t, engine.NotDelivered, answer.(engine.StartAnswered).Result)
+	require.Zero(t, w.starts)
+	answer = executeOrder(w, engine.Start{SendBy: steady.Now().Add(time.Minute)})
+	require.Equal(t, engine.OK, answer.(engine.StartAnswered).Result)
+	require.Equal(t, 1, w.starts)
+}
+
+// A hold that was decided on before a pause could acknowledge ends of the worker's next
+// life, which nobody had seen.
+func TestHoldIsNotSentAfterAPause(t *testing.T) {
+	answer := executeOrder(&orderedWorker{}, engine.Hold{StoredEnds: 7, SendBy: steady.Now().Add(-time.Millisecond)})
+	require.Equal(t, engine.NotDelivered, answer.(engine.HoldAnswered).Result)
+}
