engine: move long-running tasks early off machines that are due for upkeep

Cause: the long-running tasks of a step move one by one, each in about 1.4 s. Their machines were emptied as the fleet's owner planned them, a few at a time, and many tasks moved to machines that were due too. Change: as long as nothing more urgent moves, these tasks also leave machines that must be released later, if another machine has room that stays.

--- a/engine/late_test.go
+++ b/engine/late_test.go
@@ -100,3 +100,36 @@
 	r.step(testJob("j3", simpleStep(1)))
 	require.Equal(t, "a", r.starts[started].Incarnation.ID, "packed beside the tasks that it has")
 }
+
+// The long-running tasks of a step move one by one. When their machines were emptied only
+// as the fleet's owner got to them, the last ones of a wave were late by up to 4 s
+// (lah-jobs-large scale-1).
+func TestLongRunningTasksLeaveMachinesDueLater(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"), newWorker("c"), newWorker("d"))
+	for _, w := range r.workers {
+		w.stalled = true // progress is set by the test only
+	}
+	r.step(testJob("j1", longRunningStep(2, 1)))
+	serve := func() {
+		for _, w := range r.workers {
+			for i := range w.running {
+				w.running[i].Percent = 100
+			}
+		}
+		r.advance(time.Second)
+	}
+	serve()
+	require.Len(t, r.starts, 2)
+	r.step(ReleaseUpdated{Machines: map[string]bool{}, Upcoming: map[string]bool{"m-a": true, "m-b": true}, Version: 1})
+	r.advance(100 * time.Millisecond)
+	require.Len(t, r.stops, 1, "the second task stays until the first is ready to serve again")
+	serve()
+	serve()
+	require.Empty(t, r.workers["a"].running)
+	require.Empty(t, r.workers["b"].running)
+	require.Len(t, r.stops, 2)
+
+	r.step(ReleaseUpdated{Machines: map[string]bool{}, Upcoming: map[string]bool{"m-a": true, "m-b": true, "m-c": true, "m-d": true}, Version: 2})
+	r.advance(time.Second)
+	require.Len(t, r.stops, 2, "there is no machine on which a task could stay")
+}
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -51,6 +51,7 @@
 	releaseVersion  uint64                  // version of the fleet's row that toRelease comes from
 	upcomingRelease map[string]bool         // machines that must be released later
 	leavingWorkers  []*worker               // reused by evacuate
+	nextEarlyMoves  time.Time               // earliest time of the next moves off machines that must be released later
 	reserved        map[*worker]bool        // workers kept free for long-running tasks during this placement pass
 	formerWorkers   map[string]formerWorker // workers that the former owner may have used, by ID
 	silentFormer    []string                // those of them that did not answer before their leases had expired
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -90,19 +91,50 @@
 	m.stopRun(r, "no progress for "+stalledFor.Round(time.Millisecond).String())
 }
 
-// evacuate stops runs that must move off workers that are draining or to be
-// released. Workers that have to be empty first go first: the long-running tasks of a
-// step move one by one, and in another order a worker could wait for those of all
-// others.
+// departure says how soon a worker has to be empty.
+type departure int
+
+const (
+	staying  departure = iota
+	upcoming           // its machine must be released later
+	released           // its machine is to be released
+	draining           // the worker ends
+)
+
+func (m *Scheduler) departureOf(w *worker) departure {
+	switch {
+	case w.Draining:
+		return draining
+	case m.toRelease[w.Machine]:
+		return released
+	case m.upcomingRelease[w.Machine]:
+		return upcoming
+	}
+	return staying
+}
+
+// evacuate stops runs that must move off workers that have to be empty now or later.
+// Workers that have to be empty first go first: the long-running tasks of a step move
+// one by one, and in another order a worker could wait for those of all others. For the
+// same reason these tasks move off machines that must be released later, as long as
+// nothing more urgent moves.
 func (m *Scheduler) evacuate(now time.Time) {
+	early := !now.Before(m.nextEarlyMoves)
+	if early {
+		m.nextEarlyMoves = now.Add(supervisionInterval)
+	}
 	leaving := m.leavingWorkers[:0]
 	for _, w := range m.sortedWorkers {
-		if !w.Draining && !m.toRelease[w.Machine] {
+		switch m.departureOf(w) {
+		case staying, upcoming:
 			w.leavingSince = time.Time{}
-			continue
-		}
-		if w.leavingSince.IsZero() {
-			w.leavingSince = now
+			if !early || !m.upcomingRelease[w.Machine] {
+				continue
+			}
+		default:
+			if w.leavingSince.IsZero() {
+				w.leavingSince = now
+			}
 		}
 		if len(w.runs) > 0 {
 			leaving = append(leaving, w)
@@ -110,11 +142,8 @@
 	}
 	m.leavingWorkers = leaving
 	slices.SortStableFunc(leaving, func(a, b *worker) int {
-		if a.Draining != b.Draining {
-			if a.Draining {
-				return -1
-			}
-			return 1
+		if c := cmp.Compare(m.departureOf(b), m.departureOf(a)); c != 0 {
+			return c
 		}
 		return a.leavingSince.Compare(b.leavingSince)
 	})
@@ -135,7 +164,18 @@
 func (m *Scheduler) mustMove(now time.Time, w *worker, r *run) bool {
 	s := r.task.step
 	if s.spec.LongRunning {
-		return w.Draining || !now.Before(m.noMovesBefore) && m.mayInterrupt(r)
+		switch {
+		case w.Draining:
+			return true
+		case now.Before(m.noMovesBefore):
+			return false
+		case !m.toRelease[w.Machine] && !m.hasFreeRoomToStay(now, s):
+			return false // the move can wait until there is room
+		}
+		return m.mayInterrupt(r)
+	}
+	if !w.Draining && !m.toRelease[w.Machine] {
+		return false
 	}
 	left := time.Duration(float64(s.spec.Estimate) * float64(100-r.percent) / 100)
 	if w.Draining {
@@ -179,6 +219,17 @@
 	return false
 }
 
+// hasFreeRoomToStay reports whether a worker whose machine need not be released has room
+// for a long-running task at present.
+func (m *Scheduler) hasFreeRoomToStay(now time.Time, s *step) bool {
+	for _, w := range m.sortedWorkers {
+		if !m.upcomingRelease[w.Machine] && s.demand().Fits(w.free()) && m.usable(now, w) && m.stepAllows(now, s, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // Throttling of best-effort tasks, by the ratio of the tail latency of serving
 // tasks at the same worker to its target. The speed limit falls to 0 at once when
 // the target is exceeded and otherwise changes in steps, since a missed target
