node, peer, platform: keep a panic from ending a process or stopping a duty

Cause: a pool of goroutines drops the result of a call that panics. The duties of a node wait for each result: the worker counted as asked for ever, or the lease was never renewed again, without a log line. And a panic while a request or an RPC was handled ended the process with all requests in flight. Change: calls of the duties end with a failed result and a log line; HTTP requests are answered with 504 (500 to operators), RPCs with an error. Three tests of node/pools took the first result for that of the read; the fake store panicked on the write of the lease, which was dropped. They wait for the read. Measured: TestCallThatPanicsIsAnswered and TestPanicIsAnswered; before, the first waits for ever and the second ends the test process.

--- a/daemon/controller/controller.go
+++ b/daemon/controller/controller.go
@@ -117,14 +117,14 @@
 }
 
 func (c *Controller) buildServers() (err error) {
-	c.admin, err = operator.NewAdmin(c.opts.Settings.AdminListen, adminProcess{c})
+	c.admin, err = operator.NewAdmin(c.opts.Settings.AdminListen, adminProcess{c}, logging.For(c.opts.Log, "admin"))
 	if err != nil {
 		return err
 	}
 	c.operatorAPI, err = operator.NewServer(operator.Options{
 		Addr: c.opts.Settings.Controller.OperatorListen, Key: c.opts.Settings.Controller.OperatorKey,
 		Timeout: submissionTimeoutCalls*c.opts.Settings.Platform.Timeout + replyMargin,
-		Handler: operatorAPI{c}, Jobs: c.opts.Jobs,
+		Handler: operatorAPI{c}, Jobs: c.opts.Jobs, Log: logging.For(c.opts.Log, "operators"),
 	})
 	if err != nil {
 		c.admin.Close()
--- a/daemon/node/admin.go
+++ b/daemon/node/admin.go
@@ -23,7 +23,7 @@
 	if o.Settings.AdminListen == "" {
 		return nil
 	}
-	server, err := operator.NewAdmin(o.Settings.AdminListen, admin{node: n, opts: o})
+	server, err := operator.NewAdmin(o.Settings.AdminListen, admin{node: n, opts: o}, o.Log.Named("admin"))
 	if err != nil {
 		return fmt.Errorf("open the admin address: %w", err)
 	}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -137,7 +137,7 @@
 		Log:      logger("board"),
 	})
 	var err error
-	if n.callers, err = caller.Listen(o.Settings.CallerListen, intake); err != nil {
+	if n.callers, err = caller.Listen(o.Settings.CallerListen, intake, logger("callers")); err != nil {
 		return nil, err
 	}
 	readyServer, err := caller.ListenReady(o.Settings.ReadyListen, func() bool { return n.ready.Load() && !n.stopping.Load() })
--- a/daemon/process/gateway.go
+++ b/daemon/process/gateway.go
@@ -86,7 +86,7 @@
 // duty.
 func (g *Gateway) initAdminAndConfigWatch() (err error) {
 	cfg := g.base.settings
-	if g.admin, err = operator.NewAdmin(cfg.AdminListen, adminHandler{g}); err != nil {
+	if g.admin, err = operator.NewAdmin(cfg.AdminListen, adminHandler{g}, g.base.logger("admin")); err != nil {
 		return fmt.Errorf("open the admin address: %w", err)
 	}
 	g.configWatch, err = configwatch.New(configwatch.Options{
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/fleet"
+	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
@@ -329,7 +330,10 @@
 }
 
 func (d *Duty) startCommit(ctx context.Context, w holder.Write) {
-	d.callPool.Go(func() { d.postResult(ctx, holder.Commit(ctx, d.Table, w)) })
+	d.callPool.Go(func() {
+		failed := holder.Failed(w, errCallPanicked)
+		d.postResult(ctx, guard.Call(d.Log, "commit", failed, func() holder.Result { return holder.Commit(ctx, d.Table, w) }))
+	})
 }
 
 func (d *Duty) postResult(ctx context.Context, result any) {
@@ -342,11 +346,13 @@
 	switch a := a.(type) {
 	case fleet.ListMachines:
 		d.callPool.Go(func() {
-			list, err := d.Service.List(ctx)
-			if err != nil {
-				d.Log.Warn("listing machines failed", "error", err)
-			}
-			d.postResult(ctx, fleet.MachinesListed{OK: err == nil, Machines: list})
+			d.postResult(ctx, guard.Call(d.Log, "list machines", fleet.MachinesListed{}, func() fleet.MachinesListed {
+				list, err := d.Service.List(ctx)
+				if err != nil {
+					d.Log.Warn("listing machines failed", "error", err)
+				}
+				return fleet.MachinesListed{OK: err == nil, Machines: list}
+			}))
 		})
 	case fleet.MoveMachine:
 		d.startOrder(ctx, a.Machine, func() error { return d.Service.Move(ctx, a.Token, a.Machine, a.Pool) })
@@ -354,9 +360,12 @@
 		d.startOrder(ctx, a.Machine, func() error { return d.Service.Upkeep(ctx, a.Token, a.Machine, a.Wave) })
 	case fleet.StoreWaveStatus:
 		d.callPool.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-			defer cancel()
-			_, err := d.Table.Commit(callCtx, []store.Op{d.WaveStatus(a.Wave, a.Done)})
+			err := guard.Call(d.Log, "store wave status", errCallPanicked, func() error {
+				ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+				defer cancel()
+				_, err := d.Table.Commit(ctx, []store.Op{d.WaveStatus(a.Wave, a.Done)})
+				return err
+			})
 			d.Log.Info("write of wave status finished", "wave", a.Wave, "done", a.Done, "error", err)
 			var conflict *store.ConflictError
 			stored := err == nil || !a.Done && errors.As(err, &conflict) // a status is there already
@@ -371,6 +380,9 @@
 	}
 }
 
+// errCallPanicked is the error of a call that panicked. It may have had an effect.
+var errCallPanicked = fmt.Errorf("%w: the call panicked", store.ErrUnknown)
+
 // errLeaseEnded is the result of an order that was not sent.
 var errLeaseEnded = fmt.Errorf("%w: the lease ended before the order was sent", store.ErrUnavailable)
 
@@ -382,7 +394,7 @@
 	d.callPool.Go(func() {
 		err := errLeaseEnded
 		if steady.Now().Before(validUntil) {
-			err = send()
+			err = guard.Call(d.Log, "order for a machine", errCallPanicked, send)
 		}
 		d.postOrderResult(ctx, machine, err)
 	})
--- a/node/holder/holder.go
+++ b/node/holder/holder.go
@@ -336,6 +336,9 @@
 	return store.Op{Kind: kind, Key: store.KeyOrder(h.Name), Value: []byte("{}")}
 }
 
+// Failed returns the result of a write that ended with err.
+func Failed(w Write, err error) Result { return Result{write: w, err: err} }
+
 // Commit executes a write. It may run on any goroutine.
 func Commit(ctx context.Context, t store.Table, w Write) Result {
 	r := Result{write: w}
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -12,6 +12,7 @@
 
 	"github.com/carobwharf/carobwharf/duty"
 	"github.com/carobwharf/carobwharf/intake"
+	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
@@ -185,7 +186,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	a := d.call(callCtx, c)
+	failed := intake.Answer{Number: c.Number, Op: c.Op, Result: intake.Unknown}
+	a := guard.Call(d.Log, "store call", failed, func() intake.Answer { return d.call(callCtx, c) })
 	if err := d.answers.Put(ctx, a); err != nil {
 		return // the duty has stopped
 	}
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/holder"
@@ -109,63 +110,79 @@
 // Decisions are logged. If a worker has seen the token of a later owner, the
 // pool is given up.
 func (d *Duty) execute(ctx context.Context, p *pool, a engine.Action) {
-	name, token := p.Name, p.Control.Token
-	reply := func(e engine.Event) {
-		d.postResult(ctx, callAnswered{pool: name, token: token, event: e, answered: time.Now()})
-	}
 	switch a := a.(type) {
 	case engine.Hold:
 		w := d.workerClient(a.Target)
 		d.load.holds.Inc(1)
-		d.callPool.Go(func() {
-			sent := steady.Now()
-			if sent.After(a.SendBy) {
-				reply(engine.HoldAnswered{Worker: a.Incarnation, Sent: sent, Result: engine.NotDelivered})
-				return
+		d.startCall(ctx, p, "hold", engine.HoldAnswered{Worker: a.Incarnation, Result: engine.Unknown}, func() engine.Event {
+			e := engine.HoldAnswered{Worker: a.Incarnation, Sent: steady.Now(), Result: engine.NotDelivered}
+			if e.Sent.After(a.SendBy) {
+				return e
 			}
-			report, result, err := w.Hold(ctx, a)
-			d.recordCall("hold", result, err, a.Incarnation.ID)
-			reply(engine.HoldAnswered{Worker: a.Incarnation, Sent: sent, Result: result, Report: report})
+			var err error
+			e.Report, e.Result, err = w.Hold(ctx, a)
+			d.recordCall("hold", e.Result, err, a.Incarnation.ID)
+			return e
 		})
 	case engine.Start:
 		w := d.workerClient(a.Target)
 		d.load.starts.Inc(1)
-		d.callPool.Go(func() {
+		answer := engine.StartAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: engine.Unknown}
+		d.startCall(ctx, p, "start", answer, func() engine.Event {
+			e := answer
 			if steady.Now().After(a.SendBy) {
-				reply(engine.StartAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: engine.NotDelivered})
-				return
+				e.Result = engine.NotDelivered
+				return e
 			}
-			result, err := w.Start(ctx, a)
-			d.recordCall("start", result, err, a.Incarnation.ID)
-			reply(engine.StartAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: result})
+			var err error
+			e.Result, err = w.Start(ctx, a)
+			d.recordCall("start", e.Result, err, a.Incarnation.ID)
+			return e
 		})
 	case engine.Stop:
 		w := d.workerClient(a.Target)
-		d.callPool.Go(func() {
-			result, err := w.Stop(ctx, a)
-			d.recordCall("stop", result, err, a.Incarnation.ID)
-			reply(engine.StopAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: result})
+		answer := engine.StopAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Result: engine.Unknown}
+		d.startCall(ctx, p, "stop", answer, func() engine.Event {
+			e := answer
+			var err error
+			e.Result, err = w.Stop(ctx, a)
+			d.recordCall("stop", e.Result, err, a.Incarnation.ID)
+			return e
 		})
 	case engine.Throttle:
 		w := d.workerClient(a.Target)
-		d.callPool.Go(func() {
-			result, err := w.Throttle(ctx, a)
-			d.recordCall("pace", result, err, a.Incarnation.ID)
-			reply(engine.ThrottleAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Percent: a.Percent, Result: result})
+		answer := engine.ThrottleAnswered{Worker: a.Incarnation, Task: a.Task, Attempt: a.Attempt, Percent: a.Percent, Result: engine.Unknown}
+		d.startCall(ctx, p, "pace", answer, func() engine.Event {
+			e := answer
+			var err error
+			e.Result, err = w.Throttle(ctx, a)
+			d.recordCall("pace", e.Result, err, a.Incarnation.ID)
+			return e
 		})
 	case engine.Advise:
-		d.askPolicy(ctx, a, reply)
+		failed := engine.AdviceAnswered{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Asked: a.Workers}
+		d.startCall(ctx, p, "advise", failed, func() engine.Event { return d.askPolicy(ctx, a, failed) })
 	case engine.FindJobs:
 		d.startFindJobs(ctx, p, a.IDs)
 	case engine.Decision:
-		d.Log.Info(a.What, "pool", name, "token", token, "job", a.Job, "task", a.Task, "run", a.Attempt, "worker", a.Worker, "why", a.Why)
+		d.Log.Info(a.What, "pool", p.Name, "token", p.Control.Token, "job", a.Job, "task", a.Task, "run", a.Attempt, "worker", a.Worker, "why", a.Why)
 	case engine.Superseded:
-		d.Log.Warn("giving up the pool: a worker has seen the token of a later owner", "pool", name, "token", token, "worker", a.Worker)
+		d.Log.Warn("giving up the pool: a worker has seen the token of a later owner", "pool", p.Name, "token", p.Control.Token, "worker", a.Worker)
 		p.Drop(d.now())
 		p.reset()
 	}
 }
 
+// startCall runs a call on a goroutine of callPool and posts its answer, or failed if
+// the call panics.
+func (d *Duty) startCall(ctx context.Context, p *pool, call string, failed engine.Event, run func() engine.Event) {
+	name, token := p.Name, p.Control.Token
+	d.callPool.Go(func() {
+		e := guard.Call(d.Log, call, failed, run)
+		d.postResult(ctx, callAnswered{pool: name, token: token, event: e, answered: time.Now()})
+	})
+}
+
 // recordCall counts the result of a call to a worker and logs the error of a
 // failed one.
 func (d *Duty) recordCall(call string, result engine.Result, err error, worker string) {
@@ -179,23 +196,20 @@
 // about up to 30 workers and may queue behind 32 others.
 const AdviceTimeout = 3 * time.Second
 
-func (d *Duty) askPolicy(ctx context.Context, a engine.Advise, reply func(engine.Event)) {
-	e := engine.AdviceAnswered{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Asked: a.Workers}
-	d.callPool.Go(func() {
-		if d.Policy == nil {
-			d.Log.Warn("a queue requires a placement policy, but none is configured", "job", a.Job)
-			reply(e)
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, AdviceTimeout)
-		defer cancel()
-		var err error
-		if e.Tickets, e.Valid, err = d.Policy.Advise(callCtx, a); err != nil {
-			d.Log.Info("call to the placement policy failed", "job", a.Job, "error", err)
-		}
-		e.OK = err == nil
-		reply(e)
-	})
+// askPolicy calls the placement policy. e is the answer if the call fails.
+func (d *Duty) askPolicy(ctx context.Context, a engine.Advise, e engine.AdviceAnswered) engine.AdviceAnswered {
+	if d.Policy == nil {
+		d.Log.Warn("a queue requires a placement policy, but none is configured", "job", a.Job)
+		return e
+	}
+	ctx, cancel := context.WithTimeout(ctx, AdviceTimeout)
+	defer cancel()
+	tickets, valid, err := d.Policy.Advise(ctx, a)
+	if err != nil {
+		d.Log.Info("call to the placement policy failed", "job", a.Job, "error", err)
+	}
+	e.Tickets, e.Valid, e.OK = tickets, valid, err == nil
+	return e
 }
 
 // writeDue starts a write of what is due: the renewal of the lease, the load
--- a/node/pools/find.go
+++ b/node/pools/find.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/store"
 )
 
@@ -16,7 +17,7 @@
 	d.storePool.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, jobsReadTimeout)
 		defer cancel()
-		result.err = d.findJobs(callCtx, &result)
+		result.err = guard.Call(d.Log, "find jobs", errCallPanicked, func() error { return d.findJobs(callCtx, &result) })
 		d.postResult(ctx, result)
 	})
 }
--- a/node/pools/find_test.go
+++ b/node/pools/find_test.go
@@ -54,7 +54,7 @@
 	d.runPool(context.Background(), d.now(), p)
 	require.True(t, p.readingJobs)
 	sent := p.jobsReadSent
-	d.handleResult(<-d.results.C())
+	d.finishRead(p)
 	require.Equal(t, []string{store.WorkQueue("h", "/a/") + "-0"}, f.readParts, "the other queue has been read")
 	require.Equal(t, sent, p.jobsReadSent, "cancellations of other queues were not read")
 	require.Len(t, p.events, 2)
@@ -100,7 +100,7 @@
 	d.workFollowed = true
 	p.events = nil
 	d.runPool(context.Background(), d.now(), p)
-	d.handleResult(<-d.results.C())
+	d.finishRead(p)
 	require.Len(t, p.events, 2)
 	require.True(t, p.events[0].(engine.JobAdded).Recovered)
 	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/rows"
@@ -86,10 +88,14 @@
 func (d *Duty) startCommit(ctx context.Context, p *pool, w holder.Write) {
 	name := p.Name
 	d.storePool.Go(func() {
-		d.postResult(ctx, leaseWritten{pool: name, result: holder.Commit(ctx, d.Table, w)})
+		failed := holder.Failed(w, errCallPanicked)
+		d.postResult(ctx, leaseWritten{pool: name, result: guard.Call(d.Log, "commit", failed, func() holder.Result { return holder.Commit(ctx, d.Table, w) })})
 	})
 }
 
+// errCallPanicked is the error of a call that panicked. It may have had an effect.
+var errCallPanicked = fmt.Errorf("%w: the call panicked", store.ErrUnknown)
+
 func (d *Duty) postResult(ctx context.Context, result any) {
 	if err := d.results.Put(ctx, result); err != nil {
 		d.Log.Debug("call result discarded: duty has stopped", "error", err)
@@ -160,7 +166,7 @@
 	d.storePool.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, jobsReadTimeout)
 		defer cancel()
-		result.err = d.readJobs(callCtx, &result, queues)
+		result.err = guard.Call(d.Log, "read jobs", errCallPanicked, func() error { return d.readJobs(callCtx, &result, queues) })
 		d.postResult(ctx, result)
 	})
 }
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -99,6 +99,10 @@
 	return list, 7, nil
 }
 
+func (f *fakeStore) Commit(context.Context, []store.Op) ([]uint64, error) {
+	return nil, store.ErrUnknown
+}
+
 func (f *fakeStore) Scan(context.Context, string, string, int) ([]store.Row, error) { return nil, nil }
 
 func (f *fakeStore) Get(_ context.Context, key string) (store.Row, error) {
@@ -159,13 +163,21 @@
 	require.True(t, p.readingJobs)
 	cancel := store.Change{Row: store.Row{Key: store.KeyWorkCancel(name, "00000000000000a1"), Version: 9}}
 	d.handleDelta(follow.Delta{Table: store.TableWork, Changes: []store.Change{cancel}, Sent: d.now()})
-	d.handleResult(<-d.results.C())
+	d.finishRead(p)
 	require.False(t, p.missedChanges)
 	require.Len(t, p.events, 2)
 	require.Equal(t, "00000000000000a1", p.events[0].(engine.JobAdded).Submission.ID)
 	require.Equal(t, engine.CancelRequested{Job: "00000000000000a1"}, p.events[1])
 }
 
+// finishRead handles results until the jobs of the pool are read. The result of a write
+// of the lease may come first.
+func (d *Duty) finishRead(p *pool) {
+	for p.readingJobs {
+		d.handleResult(<-d.results.C())
+	}
+}
+
 // lostTable executes no transaction and returns an unknown result.
 type lostTable struct{ store.Table }
 
@@ -456,3 +468,10 @@
 	answer := executeOrder(&orderedWorker{}, engine.Hold{StoredEnds: 7, SendBy: steady.Now().Add(-time.Millisecond)})
 	require.Equal(t, engine.NotDelivered, answer.(engine.HoldAnswered).Result)
 }
+
+// The answer to a call that panicked was never posted: the worker counted as asked for
+// ever, so that it got no more work and the ends of its runs were lost.
+func TestCallThatPanicsIsAnswered(t *testing.T) {
+	answer := executeOrder(&orderedWorker{}, engine.Hold{SendBy: steady.Now().Add(time.Minute)})
+	require.Equal(t, engine.Unknown, answer.(engine.HoldAnswered).Result)
+}
--- a/peer/caller/server.go
+++ b/peer/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/carobwharf/carobwharf/peer/httpguard"
 	"github.com/carobwharf/carobwharf/structs"
 )
 
@@ -60,7 +61,7 @@
 	}
 	srv := &Server{cfg: c, submitter: s, log: log, closed: make(chan struct{})}
 	srv.http = &fasthttp.Server{
-		Handler:                      srv.handle,
+		Handler:                      httpguard.Handler(log, fasthttp.StatusGatewayTimeout, srv.handle),
 		ErrorHandler:                 srv.handleError,
 		Concurrency:                  c.MaxConnections + maxRefusedConnections,
 		ReadBufferSize:               c.MaxHeader,
--- a/peer/link/server.go
+++ b/peer/link/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -10,6 +11,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+
+	"github.com/carobwharf/carobwharf/internal/guard"
 )
 
 // serverIdleTimeout is the time after which the server closes a connection on
@@ -43,13 +46,28 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	srv := drpcserver.NewWithOptions(s.mux, drpcserver.Options{
+	srv := drpcserver.NewWithOptions(guardedHandler{s.mux, s.log}, drpcserver.Options{
 		Manager: managerOptions(),
 		Log:     func(err error) { s.log.Trace("peer connection ended", "error", err) },
 	})
 	return srv.Serve(ctx, s.listener)
 }
 
+// errCallPanicked is what the caller of an RPC gets whose handling panicked.
+var errCallPanicked = errors.New("the call panicked")
+
+// guardedHandler answers an RPC whose handling panics with an error. Without it, one
+// message could end the process.
+type guardedHandler struct {
+	drpc.Handler
+	log hclog.Logger
+}
+
+// HandleRPC implements drpc.Handler.
+func (h guardedHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	return guard.Call(h.log, rpc, errCallPanicked, func() error { return h.Handler.HandleRPC(stream, rpc) })
+}
+
 type idleTimeoutListener struct{ net.Listener }
 
 func (l idleTimeoutListener) Accept() (net.Conn, error) {
--- a/peer/operator/admin.go
+++ b/peer/operator/admin.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobwharf/carobwharf/duty"
@@ -36,9 +37,9 @@
 }
 
 // NewAdmin opens a listener on the address. Run serves calls.
-func NewAdmin(addr string, p Process) (*Admin, error) {
+func NewAdmin(addr string, p Process, log hclog.Logger) (*Admin, error) {
 	a := &Admin{process: p}
-	srv, err := listen(addr, maxAdminBody, a.serve)
+	srv, err := listen(addr, maxAdminBody, log, a.serve)
 	if err != nil {
 		return nil, err
 	}
--- a/peer/operator/listen.go
+++ b/peer/operator/listen.go
@@ -7,7 +7,10 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
+
+	"github.com/carobwharf/carobwharf/peer/httpguard"
 )
 
 // Limits of the operators' API and of the admin server. Operators are people
@@ -27,14 +30,14 @@
 	server   *fasthttp.Server
 }
 
-func listen(addr string, maxBody int, handler fasthttp.RequestHandler) (*httpServer, error) {
+func listen(addr string, maxBody int, log hclog.Logger, handler fasthttp.RequestHandler) (*httpServer, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("open HTTP listener: %w", err)
 	}
 	return &httpServer{listener: l, server: &fasthttp.Server{
 		Name:               "carobwharf",
-		Handler:            handler,
+		Handler:            httpguard.Handler(log, fasthttp.StatusInternalServerError, handler),
 		ErrorHandler:       handleMalformed,
 		Concurrency:        maxConnections,
 		MaxRequestBodySize: maxBody,
--- a/peer/operator/operator_test.go
+++ b/peer/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/configcheck"
@@ -186,7 +187,7 @@
 // Every path of the admin server must report the state of its process, and the
 // operators' API must not be served there.
 func TestAdmin(t *testing.T) {
-	a, err := NewAdmin("127.0.0.1:0", &fakeProcess{ready: errors.New("starting")})
+	a, err := NewAdmin("127.0.0.1:0", &fakeProcess{ready: errors.New("starting")}, hclog.NewNullLogger())
 	require.NoError(t, err)
 	serve(t, a.Run)
 	c := NewClient(a.Addr(), "")
--- a/peer/operator/server.go
+++ b/peer/operator/server.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/carobwharf/carobwharf/settings"
@@ -26,7 +27,8 @@
 	Key     string // required in every call
 	Timeout time.Duration
 	Handler Handler
-	Jobs    JobHandler // if nil, calls about jobs fail with CodeNotFound
+	Jobs    JobHandler   // if nil, calls about jobs fail with CodeNotFound
+	Log     hclog.Logger // nil: nothing is logged
 }
 
 // Server is the HTTP server of the operators' API.
@@ -46,6 +48,9 @@
 	if o.Key == "" {
 		return nil, errors.New("operators' API: the key is empty; set operator_key in [controller]")
 	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
 	s := &Server{opts: o, key: sha256.Sum256([]byte(o.Key))}
 	s.routes = map[string]routeHandler{
 		"POST /v1/config": s.submit,
@@ -55,7 +60,7 @@
 		"GET /v1/status":  s.status,
 		"POST /v1/drain":  s.drain,
 	}
-	srv, err := listen(o.Addr, settings.MaxObjectBytes, s.serve)
+	srv, err := listen(o.Addr, settings.MaxObjectBytes, o.Log, s.serve)
 	if err != nil {
 		return nil, err
 	}
