fleet: log the start of a peak, and moves for an expected one

Cause: the log showed moves to a pool that is short of machines, but not when a peak was taken as begun, nor which moves a forecast made. Change: a line peak-started, and the reason of a move.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,6 +95,7 @@
 	lastShortAt  time.Time    // when it last needed more machines than it had
 	loadSamples  []loadSample // samples of the last growthWindow
 	targetSize   int          // number of machines that the pool needs, updated by each call of Step
+	peakExpected bool         // targetSize is that of a forecast
 	peaks        peakHistory
 	poolCounts
 }
--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -45,11 +45,12 @@
 }
 
 // observe records the current load, as a fraction of the pool's base capacity,
-// and the current target size.
-func (h *peakHistory) observe(now time.Time, load float64, targetSize int) {
+// and the current target size. It reports whether a peak has started.
+func (h *peakHistory) observe(now time.Time, load float64, targetSize int) (started bool) {
 	switch {
 	case !h.inPeak && load > peakStartLoad:
 		h.inPeak, h.currentMax = true, 0
+		started = true
 		if n := len(h.starts); n == 0 || now.Sub(h.starts[n-1]) >= minPeakPeriod {
 			h.starts = append(h.starts, now)
 			h.starts = h.starts[max(0, len(h.starts)-maxPeakStarts):]
@@ -60,6 +61,7 @@
 	if h.inPeak {
 		h.currentMax = max(h.currentMax, targetSize)
 	}
+	return started
 }
 
 // period returns the time between the starts of the last two peaks, 0 if there
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -88,11 +89,15 @@
 		p.baseSize = max(p.baseSize, min(p.size, fairShare))
 		p.targetSize = pl.requiredSize(p, capacity)
 		load := p.loadSamples[len(p.loadSamples)-1].load - p.Status.LongRunning
-		p.peaks.observe(pl.now, float64(load)/float64(max(1, p.baseSize)*capacity), p.targetSize)
+		if p.peaks.observe(pl.now, float64(load)/float64(max(1, p.baseSize)*capacity), p.targetSize) {
+			pl.emit(Decision{What: "peak-started", Pool: p.name, Why: fmt.Sprintf("load of %d cores, base of %d machines", load/1000, p.baseSize)})
+		}
 	}
 	period, next := pl.peakPeriod(), pl.nextTurn()
 	for _, p := range pools {
-		p.targetSize = max(p.targetSize, pl.forecastSize(p, period, next))
+		forecast := pl.forecastSize(p, period, next)
+		p.peakExpected = forecast > p.targetSize
+		p.targetSize = max(p.targetSize, forecast)
 	}
 	// All pools that are short of machines come before those with a surplus, so that the
 	// surplus goes to a pool that needs it.
@@ -193,9 +198,13 @@
 // standby pool, then idle machines of other pools in the order of
 // donorMachines.
 func (pl *Planner) planMovesTo(p *pool, n int, standby string) {
+	why := "short of machines"
+	if p.peakExpected {
+		why = "a peak is expected"
+	}
 	for _, m := range pl.machineList {
 		if n > 0 && m.Pool == standby && pl.available(m) {
-			pl.planMove(m, p.name, "short of machines")
+			pl.planMove(m, p.name, why)
 			n--
 		}
 	}
@@ -204,7 +213,7 @@
 	}
 	for _, m := range pl.donorMachines(p, standby) {
 		if n > 0 && pl.canDonate(pl.pools[m.Pool]) {
-			pl.planMove(m, p.name, "short of machines")
+			pl.planMove(m, p.name, why)
 			n--
 		}
 	}
