intake: spread the return of refused callers, and let it follow the outage

Cause: every refused caller was told to return after one second, so that all came at once at the end of an outage of the store, and came again and again during a long one. Change: Retry-After is half of the time for which the store has not answered, 1 to 4 s, and up to twice that by a hash of the job's ID. Measured: TestCallersReturnSpreadAfterAnOutage fails before.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,6 +5,7 @@
 package intake
 
 import (
+	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -130,9 +131,10 @@
 	// probeInterval is the minimum time between the submissions that are sent to an
 	// unresponsive store as probes.
 	probeInterval = 250 * time.Millisecond
-	// retryAfter is the time after which the callers of refused requests are asked
-	// to retry.
-	retryAfter = time.Second
+	// minRetryAfter and maxRetryAfter bound the time after which the callers of refused
+	// requests are asked to retry, without its spread.
+	minRetryAfter = time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
 // pendingRequest is a request that has no reply yet.
@@ -202,7 +204,7 @@
 	p.deadline = now.Add(max(timeout-replyMargin, timeout/2))
 	h.requests[r.Number] = p
 	if h.config == nil {
-		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "no configuration yet", RetryAfter: retryAfter})
+		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "no configuration yet", RetryAfter: h.retryAfter(now, p)})
 		return
 	}
 	queue, id, ok := h.config.Match(r.Host, r.Path)
@@ -225,6 +227,20 @@
 	}
 }
 
+// retryAfter returns when the caller of a refused request should return. It follows a
+// load pattern: an outage lasts about as long again as it has lasted, so callers return
+// after half of that, and those that were refused together return spread over as long
+// again, since at the end of an outage all would come at once.
+func (h *Handler) retryAfter(now time.Time, p *pendingRequest) time.Duration {
+	base := minRetryAfter
+	if !h.unansweredSince.IsZero() {
+		base = min(maxRetryAfter, max(base, now.Sub(h.unansweredSince)/2))
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(p.job))
+	return base + time.Duration(float64(base)*float64(hash.Sum32())/(1<<32))
+}
+
 func validID(id string) bool {
 	return len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
 }
@@ -242,7 +258,7 @@
 		return
 	}
 	if h.shouldRefuse(now) {
-		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "the store does not answer", RetryAfter: retryAfter})
+		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "the store does not answer", RetryAfter: h.retryAfter(now, p)})
 		return
 	}
 	h.addCall(now, p, Call{Op: Insert})
@@ -361,7 +377,7 @@
 		return
 	}
 	if p.Kind == Submit && !p.maybeStored {
-		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "the store does not take the job", RetryAfter: retryAfter})
+		h.addReply(p, Reply{Outcome: NotAccepted, Reason: "the store does not take the job", RetryAfter: h.retryAfter(now, p)})
 		return
 	}
 	h.addReply(p, Reply{Outcome: Indeterminate, Reason: "the store did not answer in time"})
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -200,3 +202,35 @@
 	arrive(7, time.Minute)
 	require.Equal(t, Insert, onlyCall(t, h).Op)
 }
+
+// After an outage of the store all callers returned in the same second, since each was
+// told the same fixed time.
+func TestCallersReturnSpreadAfterAnOutage(t *testing.T) {
+	refusals := func(outage time.Duration) (times []time.Duration) {
+		h := newConfiguredHandler(t)
+		h.unansweredSince = start
+		for n := range 200 {
+			r := newRequest(Submit, fmt.Sprintf("/a/%016x", n))
+			r.Number = uint64(n + 1)
+			h.nextProbe = start.Add(time.Hour)
+			h.HandleRequest(start.Add(outage), r)
+			_, replies := h.TakeOutput()
+			require.Equal(t, NotAccepted, replies[0].Outcome)
+			times = append(times, replies[0].RetryAfter)
+		}
+		return times
+	}
+	for outage, bounds := range map[time.Duration][2]time.Duration{
+		time.Second:      {time.Second, 2 * time.Second},
+		5 * time.Second:  {2500 * time.Millisecond, 5 * time.Second},
+		60 * time.Second: {4 * time.Second, 8 * time.Second},
+	} {
+		times := refusals(outage)
+		slices.Sort(times)
+		require.GreaterOrEqual(t, times[0], bounds[0])
+		require.LessOrEqual(t, times[len(times)-1], bounds[1])
+		middle := (bounds[0] + bounds[1]) / 2
+		first := slices.IndexFunc(times, func(d time.Duration) bool { return d >= middle })
+		require.InDelta(t, 100, first, 30, "half of the callers in each half")
+	}
+}
