node/follow: look for the store's return with short reads

Change: every second read after a failed one does not wait for changes and times out after 150 ms. Measured: TestFailingFollowerProbes fails before.

--- a/node/follow/follow.go
+++ b/node/follow/follow.go
@@ -54,6 +54,10 @@
 	maxRetryDelay = 500 * time.Millisecond
 	// snapshotTimeout is the timeout of a read of the whole table.
 	snapshotTimeout = 4 * time.Second
+	// probeTimeout is the timeout of every second read after one failed. A store that is
+	// not slow answers a read that need not wait within some 10 ms, so its return is not
+	// missed while a long read waits for an answer that was lost.
+	probeTimeout = 150 * time.Millisecond
 )
 
 // Follower follows one table.
@@ -63,6 +67,7 @@
 	synced     bool      // after is valid
 	lastChange time.Time // when the last change was received
 	failing    bool      // the last read failed
+	probed     bool      // the last read was a probe
 	retryDelay time.Duration
 }
 
@@ -135,7 +140,15 @@
 }
 
 func (f *Follower) changes(ctx context.Context) ([]store.Change, uint64, error) {
-	list, after, err := f.Feed.Changes(ctx, f.Table, f.after, f.PollWait)
+	wait := f.PollWait
+	f.probed = f.failing && !f.probed
+	if f.probed {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		wait = 0
+	}
+	list, after, err := f.Feed.Changes(ctx, f.Table, f.after, wait)
 	if err != nil {
 		return nil, f.after, err
 	}
--- a/node/follow/follow_test.go
+++ b/node/follow/follow_test.go
@@ -85,3 +85,33 @@
 	out := startFollower(t, Options{Feed: f, RereadAfter: 5 * time.Millisecond})
 	require.Eventually(t, func() bool { <-out.C(); return f.snapshots.Load() >= 3 }, 5*time.Second, time.Millisecond)
 }
+
+// silentFeed answers no read.
+type silentFeed struct{ emptyFeed }
+
+func (f *silentFeed) Changes(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]store.Change, uint64, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait + 100*time.Millisecond):
+	}
+	return nil, 0, store.ErrUnavailable
+}
+
+// After an outage of the store, followers noticed its return up to a second later, since
+// a read that had been sent during the outage waited for its answer.
+func TestFailingFollowerProbes(t *testing.T) {
+	const wait = 10 * time.Second
+	f := &silentFeed{}
+	follower := New(Options{Feed: f, Table: "t", PollWait: wait, Log: hclog.NewNullLogger()})
+	follower.synced, follower.failing = true, true
+	began := time.Now()
+	_, _, err := follower.changes(context.Background())
+	require.Error(t, err)
+	require.Less(t, time.Since(began), wait/2, "the read after a failed one is short")
+	ctx, cancel := context.WithTimeout(context.Background(), 2*probeTimeout)
+	defer cancel()
+	began = time.Now()
+	_, _, err = follower.changes(ctx)
+	require.Error(t, err)
+	require.GreaterOrEqual(t, time.Since(began), 2*probeTimeout, "the next one waits as usual, for a store that is slow")
+}
