fleet: see that peaks come in turn though their starts are seen late

Cause: the start of a peak is seen when the load has risen, up to 2 s late. Change: they may differ by 0.4. Measured: TestTurnsAreSeenThoughStartsAreLate fails before.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -33,7 +33,7 @@
 	maxPeakStarts = 3
 	// turnTolerance is the relative amount by which the times between three successive
 	// peaks may differ for the peaks to count as evenly spaced.
-	turnTolerance = 0.25
+	turnTolerance = 0.4
 )
 
 // peakHistory records the peaks of a pool.
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -134,6 +134,18 @@
 	require.Equal(t, turn{pool: pl.pools["a"], due: at(32)}, pl.nextTurn())
 }
 
+// The starts of peaks are seen up to 2 s late, depending on the work of the tasks. On
+// lah-jobs-large scale-1, peaks at 0, 8.5 and 17 s were seen at 2.3, 9.1 and 18.7 s, and
+// the next one was not forecast.
+func TestTurnsAreSeenThoughStartsAreLate(t *testing.T) {
+	pl, at := playTurns()
+	for name, s := range map[string]float64{"a": 2.3, "b": 9.1, "c": 18.7} {
+		pl.pools[name].peaks.starts[0] = at(s)
+	}
+	require.Equal(t, pl.pools["d"], pl.nextTurn().pool)
+	require.InDelta(t, 26.9, pl.nextTurn().due.Sub(start).Seconds(), 0.1)
+}
+
 // Machines must not be moved for a peak that nothing foretells: two pools may be next,
 // or the peaks are not evenly spaced.
 func TestIrregularPeaksAreNotForecast(t *testing.T) {
