node/board, intake: take the store as away only if all regular reads fail

Cause: the refusal of requests followed the reads of the lease rows alone. A store of which only a part is away can fail these and still take jobs. Change: the rows that operators write have to fail too; then 0.2 s suffice. Measured: TestStoreFailsOnlyIfAllReadsFail fails before.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -128,6 +128,9 @@
 	// unresponsiveAfter is the time without any answer after which the store counts
 	// as unresponsive. A slow store takes up to 400 ms for an answer.
 	unresponsiveAfter = 500 * time.Millisecond
+	// readsFailAfter is the time after which failing reads mean that the store is away. It
+	// is longer than the delay of the first repetition, since connections may be reset.
+	readsFailAfter = 200 * time.Millisecond
 	// probeInterval is the minimum time between the submissions that are sent to an
 	// unresponsive store as probes.
 	probeInterval = 250 * time.Millisecond
@@ -155,7 +158,7 @@
 	requests        map[uint64]*pendingRequest
 	unansweredSince time.Time // first call since the last answer of the store; zero: no call since then
 	nextProbe       time.Time // earliest time of the next probe while the store is unresponsive
-	failingSince    time.Time // since when other reads of the store fail; zero: they succeed
+	failingSince    time.Time // since when all regular reads of the store fail; zero: some succeed
 	calls           []Call
 	replies         []Reply
 }
@@ -184,8 +187,8 @@
 // SetWaiting replaces the counts of waiting jobs by queue.
 func (h *Handler) SetWaiting(counts map[string]int) { h.waiting = counts }
 
-// SetStoreFailing tells since when this VM's regular reads of the store fail; zero: they
-// succeed. Once they succeed again, calls are sent as if the store had never been away.
+// SetStoreFailing tells since when all regular reads of the store by this VM fail; zero:
+// some succeed. Once they succeed again, calls are sent as if the store had never been away.
 func (h *Handler) SetStoreFailing(since time.Time) {
 	if !h.failingSince.IsZero() && since.IsZero() {
 		h.unansweredSince = time.Time{}
@@ -281,11 +284,11 @@
 	h.addReply(p, Reply{Outcome: NotAccepted, Reason: "the store does not answer", RetryAfter: h.retryAfter(now, p)})
 }
 
-// storeFailing reports whether the regular reads of the store, and calls for requests if
-// there were any, have failed for a while. In a large deployment each VM gets few
+// storeFailing reports whether all regular reads of the store have failed for a while, or
+// fail and calls for requests have had no answer either. In a large deployment each VM gets few
 // requests, so that nearly all would be sent as probes and held until they time out.
 func (h *Handler) storeFailing(now time.Time) bool {
-	return !h.failingSince.IsZero() && (now.Sub(h.failingSince) >= unresponsiveAfter ||
+	return !h.failingSince.IsZero() && (now.Sub(h.failingSince) >= readsFailAfter ||
 		!h.unansweredSince.IsZero() && now.Sub(h.unansweredSince) >= unresponsiveAfter)
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -246,11 +246,11 @@
 	}
 	h.SetStoreFailing(start)
 	for kind := range kinds {
-		ask(kind, 400*time.Millisecond)
+		ask(kind, 100*time.Millisecond)
 		calls, replies := h.TakeOutput()
-		require.Len(t, calls, 1, "a single read may have failed")
+		require.Len(t, calls, 1, "the connections may have been reset")
 		require.Empty(t, replies)
-		h.HandleAnswer(start.Add(400*time.Millisecond), Answer{Number: 1, Op: calls[0].Op, Result: TooLarge})
+		h.HandleAnswer(start.Add(100*time.Millisecond), Answer{Number: 1, Op: calls[0].Op, Result: TooLarge})
 		h.TakeOutput()
 		delete(h.requests, 1)
 	}
--- a/node/board/board.go
+++ b/node/board/board.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/carobwharf/carobwharf/internal/steady"
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/follow"
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/rows"
@@ -26,6 +27,18 @@
 	LeasesReadAt  time.Time               // steady time at which the latest read of the lease rows was sent
 	MissedChanges int                     // number of full reads of the lease rows that showed changes missing in the feed
 	FailingSince  time.Time               // since when reads of the lease rows fail; zero: they succeed
+	// OperatorFailingSince is the same for the rows that operators write. A store of which
+	// a part is away fails one of the two at most.
+	OperatorFailingSince time.Time
+}
+
+// StoreFailingSince returns since when all reads of the store fail, or the zero time if
+// some succeed.
+func (v *View) StoreFailingSince() time.Time {
+	if v.FailingSince.IsZero() || v.OperatorFailingSince.IsZero() {
+		return time.Time{}
+	}
+	return times.Later(v.FailingSince, v.OperatorFailingSince)
 }
 
 // Wave is an upkeep wave and the time at which it was first seen.
@@ -103,10 +116,14 @@
 func (d *Duty) handleDelta(delta follow.Delta) bool {
 	now := steady.Now()
 	if delta.Failed {
-		if delta.Table != store.TableControl || !d.view.FailingSince.IsZero() {
+		since := &d.view.OperatorFailingSince
+		if delta.Table == store.TableControl {
+			since = &d.view.FailingSince
+		}
+		if !since.IsZero() {
 			return false
 		}
-		d.view.FailingSince = now
+		*since = now
 		return true
 	}
 	if delta.Table == store.TableControl {
@@ -121,6 +138,7 @@
 		d.view.LeasesReadAt = delta.Sent
 		return true
 	}
+	d.view.OperatorFailingSince = time.Time{}
 	for _, c := range delta.Changes {
 		if !c.Removed {
 			d.handleOperatorRow(now, c.Row)
--- a/node/board/board_test.go
+++ b/node/board/board_test.go
@@ -83,3 +83,18 @@
 	d.handleDelta(follow.Delta{Table: store.TableControl, Reset: true, Sent: steady.Now()})
 	require.Empty(t, d.view.Leases)
 }
+
+// While a part of the store was away, and with it the lease rows, requests were refused
+// that the rest of the store could have taken.
+func TestStoreFailsOnlyIfAllReadsFail(t *testing.T) {
+	d := New(Options{Log: hclog.NewNullLogger()})
+	d.handleDelta(follow.Delta{Table: store.TableControl, Failed: true})
+	require.True(t, d.view.StoreFailingSince().IsZero())
+	d.handleDelta(follow.Delta{Table: "op", Failed: true})
+	since := d.view.StoreFailingSince()
+	require.False(t, since.IsZero())
+	d.handleDelta(follow.Delta{Table: "op", Failed: true})
+	require.Equal(t, since, d.view.StoreFailingSince())
+	d.handleDelta(follow.Delta{Table: "op"})
+	require.True(t, d.view.StoreFailingSince().IsZero())
+}
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -141,7 +141,7 @@
 	if v.Configuration != nil {
 		d.handler.Configure(v.Configuration)
 	}
-	d.handler.SetStoreFailing(v.FailingSince)
+	d.handler.SetStoreFailing(v.StoreFailingSince())
 	counts := map[string]int{}
 	for _, l := range v.Leases {
 		for queue, n := range l.Waiting {
