fleet: use the machines that a former holder ordered without a wait of 3 s

Cause: since the hold-off per machine, a new holder kept all machines of its predecessor's list released for 3 s, so that no late order could end new runs. After a loss of all VMs at the peak of a pool, these are the machines that had just been moved to it. Change: they stay released for 1 s, the time-out of an order, and not at all after an earlier process of the same VM. They are still not ordered for 3 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,9 @@
 	idleListInterval = 2 * time.Second
 	// orderRetryInterval is the minimum time between orders for one machine.
 	orderRetryInterval = 200 * time.Millisecond
+	// lateOrderTime is how long after the end of its lease an order of the former holder
+	// may still be carried out: the time-out of a call to the machine service.
+	lateOrderTime = time.Second
 	// maxStepGap is the time between two steps after which the loads of the pools count
 	// as unknown. The holder of a valid lease steps the planner four times a second.
 	maxStepGap = time.Second
@@ -46,8 +49,9 @@
 type Planner struct {
 	cfg               Config
 	firstOrderAt      time.Time            // no orders are issued earlier
-	formerRelease     map[string]bool      // machines that the former holder may still order; released until formerUntil
-	formerOrdered     map[string]bool      // machines that the former holder has ordered recently; not ordered until formerUntil
+	formerRelease     map[string]bool      // machines that the former holder may still order; released until formerReleaseEnd
+	formerReleaseEnd  time.Time            // lateOrderTime after the takeover
+	formerOrdered     map[string]bool      // machines that the former holder may have ordered recently; not ordered until formerUntil
 	formerUntil       time.Time            // end of HolderChange after the takeover
 	orderedAt         map[string]time.Time // by machine: when the last order was issued or its result arrived
 	now               time.Time            // time of the current call of Step
@@ -134,22 +138,30 @@
 	Release      []string // see MachinesToRelease
 	Ordered      []string // see RecentlyOrdered
 	Peaks        map[string]PeakRecord
+	// ProcessEnded reports that the former holder was an earlier process of this VM, so
+	// that it sends no orders any more.
+	ProcessEnded bool
 }
 
 // New returns a planner for a new holder of the fleet's lease. Two holders must not
 // order the same machine within HolderChange, so the machines that the former holder
 // may have ordered wait for that long. Those among them that it may still order with a
-// late call remain released, so that no runs are started there.
+// late call remain released for a while, so that no runs are started there. Not for
+// longer: many of them have just arrived in pools at their peak.
 func New(now time.Time, cfg Config, former Former) *Planner {
 	pl := &Planner{
-		cfg: cfg, firstOrderAt: now, formerRelease: map[string]bool{}, formerOrdered: map[string]bool{}, formerUntil: now.Add(cfg.HolderChange),
+		cfg: cfg, firstOrderAt: now, formerRelease: map[string]bool{}, formerOrdered: map[string]bool{},
+		formerReleaseEnd: now.Add(lateOrderTime), formerUntil: now.Add(cfg.HolderChange),
 		orderedAt: map[string]time.Time{}, machines: map[string]*machine{}, pools: map[string]*pool{}, waves: map[int]*wave{},
 	}
 	if former.Exists && !former.OrdersListed {
 		pl.firstOrderAt = pl.formerUntil
 	}
 	for _, id := range former.Release {
-		pl.formerRelease[id] = true
+		pl.formerOrdered[id] = true
+		if !former.ProcessEnded {
+			pl.formerRelease[id] = true
+		}
 	}
 	for _, id := range former.Ordered {
 		pl.formerOrdered[id] = true
@@ -182,8 +194,10 @@
 		pl.apply(e)
 	}
 	pl.requestList()
-	if !now.Before(pl.formerUntil) {
+	if !now.Before(pl.formerReleaseEnd) {
 		clear(pl.formerRelease)
+	}
+	if !now.Before(pl.formerUntil) {
 		clear(pl.formerOrdered)
 	}
 	if pl.listReceived && !now.Before(pl.firstOrderAt) {
@@ -336,7 +350,9 @@
 		}
 	}
 	for id := range pl.formerOrdered {
-		ids = append(ids, id)
+		if !pl.formerRelease[id] {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
@@ -345,7 +361,7 @@
 // available reports whether the machine is up, has no plan yet and waits for no order
 // of the former holder.
 func (pl *Planner) available(m *machine) bool {
-	return m.plan == nil && m.State == workload.MachineUp && !pl.formerRelease[m.ID] && !pl.formerOrdered[m.ID]
+	return m.plan == nil && m.State == workload.MachineUp && !pl.formerOrdered[m.ID]
 }
 
 // UpkeepStarted returns for each wave the machines whose upkeep was started or
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -82,6 +82,7 @@
 	planner          *fleet.Planner           // nil while the lease is not held
 	events           []fleet.Event            // for the next step of the planner
 	releaseRequested []string                 // machines to release in the row as written last
+	heldBefore       bool                     // this process has held the lease
 	releasing        bool                     // the lease is not claimed, or released if held
 	followerOn       bool                     // the load rows are followed
 }
@@ -238,7 +239,8 @@
 		d.planner = fleet.New(now, fleet.Config{
 			Token: d.holder.Control.Token, HolderChange: d.Bounds.HolderChange, MoveTime: d.Bounds.MoveTime,
 			UpkeepTime: d.Bounds.UpkeepTime, MaxLease: d.Bounds.MaxLease,
-		}, formerHolder(d.holder))
+		}, d.formerHolder())
+		d.heldBefore = true
 		d.addViewEvents()
 	case holder.Stored:
 		if d.planner != nil {
@@ -249,12 +251,12 @@
 	}
 }
 
-// formerHolder returns what the fleet's row says of the holder before h.
-func formerHolder(h *holder.Holder) fleet.Former {
-	c := h.FormerControl
+// formerHolder returns what the fleet's row says of the former holder of the lease.
+func (d *Duty) formerHolder() fleet.Former {
+	c := d.holder.FormerControl
 	return fleet.Former{
-		Exists: h.Control.Token > 1, UpkeepStarted: c.Kept, OrdersListed: c.Listed, Release: c.Release, Ordered: c.Ordered,
-		Peaks: decodePeaks(time.Now(), c.Peaks),
+		Exists: d.holder.Control.Token > 1, UpkeepStarted: c.Kept, OrdersListed: c.Listed, Release: c.Release, Ordered: c.Ordered,
+		Peaks: decodePeaks(time.Now(), c.Peaks), ProcessEnded: c.Holder == d.Self && !d.heldBefore,
 	}
 }
 
--- a/node/fleet/fleet_test.go
+++ b/node/fleet/fleet_test.go
@@ -89,3 +89,14 @@
 	require.Equal(t, fleet.PeakRecord{Ages: []time.Duration{22 * time.Second, 6 * time.Second}, InPeak: true, Size: 30, BaseSize: 12}, later)
 	require.Len(t, decodePeaks(wall.Add(-10*time.Second), stored)["p"].Ages, 1)
 }
+
+// Orders of an earlier process of this VM can't come late, those of this process can.
+func TestOnlyAnEarlierProcessOfThisVMHasEnded(t *testing.T) {
+	d := New(Options{Self: "n1", Log: hclog.NewNullLogger(), Metrics: metrics.New()})
+	d.holder.FormerControl.Holder = "n2"
+	require.False(t, d.formerHolder().ProcessEnded)
+	d.holder.FormerControl.Holder = "n1"
+	require.True(t, d.formerHolder().ProcessEnded)
+	d.heldBefore = true
+	require.False(t, d.formerHolder().ProcessEnded)
+}
