fleet: wait for no order of an earlier process of the same VM

Cause: a new holder did not order machines of its predecessor's list for 3 s, also if the predecessor was an earlier process of its own VM. Change: the hold-off is for holders that take turns. An earlier process of the same VM has ended.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -138,8 +138,8 @@
 	Release      []string // see MachinesToRelease
 	Ordered      []string // see RecentlyOrdered
 	Peaks        map[string]PeakRecord
-	// ProcessEnded reports that the former holder was an earlier process of this VM, so
-	// that it sends no orders any more.
+	// ProcessEnded reports that the former holder was an earlier process of this VM: no
+	// two holders take turns, and it sends no orders any more.
 	ProcessEnded bool
 }
 
@@ -157,14 +157,13 @@
 	if former.Exists && !former.OrdersListed {
 		pl.firstOrderAt = pl.formerUntil
 	}
-	for _, id := range former.Release {
-		pl.formerOrdered[id] = true
-		if !former.ProcessEnded {
-			pl.formerRelease[id] = true
+	if !former.ProcessEnded {
+		for _, id := range former.Release {
+			pl.formerOrdered[id], pl.formerRelease[id] = true, true
+		}
+		for _, id := range former.Ordered {
+			pl.formerOrdered[id] = true
 		}
-	}
-	for _, id := range former.Ordered {
-		pl.formerOrdered[id] = true
 	}
 	pl.restorePeaks(now, former.Peaks)
 	for number, ids := range former.UpkeepStarted {
