--- a/engine/late_test.go
+++ b/engine/late_test.go
@@ -7,20 +7,22 @@
 	"github.com/stretchr/testify/require"
 )
 
+// serve makes all runs ready to serve and lets the scheduler learn of it.
+func (r *harness) serve() {
+	for _, w := range r.workers {
+		for i := range w.running {
+			w.running[i].Percent = 100
+		}
+	}
+	r.advance(time.Second)
+}
+
 // Workers to be released were emptied in the order of their IDs, so that one that was
 // asked for first waited for the tasks of all others, and a wave was late by 4 s.
 func TestWorkersAreEmptiedInTheOrderOfTheirRelease(t *testing.T) {
 	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"), newWorker("c"), newWorker("d"))
 	r.step(testJob("j1", longRunningStep(3, 1)))
-	serve := func() {
-		for _, w := range r.workers {
-			for i := range w.running {
-				w.running[i].Percent = 100
-			}
-		}
-		r.advance(time.Second)
-	}
-	serve()
+	r.serve()
 	for _, id := range []string{"a", "b", "c"} {
 		require.Len(t, r.workers[id].running, 1)
 	}
@@ -29,7 +31,7 @@
 	require.Empty(t, r.stops, "the budget of the step is used up")
 	r.now = r.now.Add(time.Millisecond)
 	r.step(ReleaseUpdated{Machines: map[string]bool{"m-a": true, "m-b": true}, Version: 2})
-	serve()
+	r.serve()
 	require.NotEmpty(t, r.stops)
 	require.Equal(t, "b", r.stops[0].Incarnation.ID)
 }
@@ -110,21 +112,13 @@
 		w.stalled = true // progress is set by the test only
 	}
 	r.step(testJob("j1", longRunningStep(2, 1)))
-	serve := func() {
-		for _, w := range r.workers {
-			for i := range w.running {
-				w.running[i].Percent = 100
-			}
-		}
-		r.advance(time.Second)
-	}
-	serve()
+	r.serve()
 	require.Len(t, r.starts, 2)
 	r.step(ReleaseUpdated{Machines: map[string]bool{}, Upcoming: map[string]bool{"m-a": true, "m-b": true}, Version: 1})
 	r.advance(100 * time.Millisecond)
 	require.Len(t, r.stops, 1, "the second task stays until the first is ready to serve again")
-	serve()
-	serve()
+	r.serve()
+	r.serve()
 	require.Empty(t, r.workers["a"].running)
 	require.Empty(t, r.workers["b"].running)
 	require.Len(t, r.stops, 2)
