fleet: expect of a first peak what the other pools needed

Cause: the average included the pool's own peak, which has just begun. Change: it does not. Measured: TestPeakOfKnownSizeGetsItsMachinesAtItsStart fails before.

--- a/fleet/forecast.go
+++ b/fleet/forecast.go
@@ -143,7 +143,7 @@
 	}
 	sum, n := 0, 0
 	for _, other := range pl.pools {
-		if size := max(other.peaks.previousMax, other.peaks.currentMax); size > 0 {
+		if size := max(other.peaks.previousMax, other.peaks.currentMax); other != p && size > 0 {
 			sum, n = sum+size, n+1
 		}
 	}
--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -44,6 +44,8 @@
 	pl, at := playTurns()
 	pl.now = at(17.2)
 	require.Equal(t, 16, pl.forecastSize(pl.pools["c"], 0, turn{}))
+	pl.pools["c"].peaks.currentMax = 4
+	require.Equal(t, 16, pl.forecastSize(pl.pools["c"], 0, turn{}), "the size of a peak that has just begun is no measure")
 	pl.pools["a"].peaks.previousMax, pl.pools["b"].peaks.previousMax, pl.pools["c"].peaks.currentMax = 300, 300, 300
 	require.Equal(t, 16, pl.forecastSize(pl.pools["c"], 0, turn{}), "a flood of other pools is no measure")
 }
