--- a/fleet/forecast_test.go
+++ b/fleet/forecast_test.go
@@ -50,17 +50,23 @@
 	require.Equal(t, 16, pl.forecastSize(pl.pools["c"], 0, turn{}), "a flood of other pools is no measure")
 }
 
-// While the store was away for 4 s, the holder of the fleet's lease learned no loads. On
-// the first step after that, it took the loads from before for 4 s without need and
-// moved 362 machines out of a pool at its peak.
-func TestSurplusIsNotCountedWhileLoadsAreUnknown(t *testing.T) {
-	const machines = 25
+// idleHarness is a harness whose pool "p" has the given number of idle machines.
+func idleHarness(machines int) *harness {
 	h := newHarness(false)
 	for n := range machines {
 		id := fmt.Sprintf("m%02d", n)
 		h.addMachine(id, "p", "w-"+id)
 		h.addStatus(engine.MachineStatus{Machine: id, Worker: "w-" + id, Usable: true})
 	}
+	return h
+}
+
+// While the store was away for 4 s, the holder of the fleet's lease learned no loads. On
+// the first step after that, it took the loads from before for 4 s without need and
+// moved 362 machines out of a pool at its peak.
+func TestSurplusIsNotCountedWhileLoadsAreUnknown(t *testing.T) {
+	const machines = 25
+	h := idleHarness(machines)
 	h.endFirstPeak("p")
 	h.advance(time.Second)
 	h.now = h.now.Add(4 * time.Second)
@@ -187,12 +193,7 @@
 // away.
 func TestPoolShrinksAfterItsPeak(t *testing.T) {
 	const machines = 25
-	h := newHarness(false)
-	for n := range machines {
-		id := fmt.Sprintf("m%02d", n)
-		h.addMachine(id, "p", "w-"+id)
-		h.addStatus(engine.MachineStatus{Machine: id, Worker: "w-" + id, Usable: true})
-	}
+	h := idleHarness(machines)
 	setUsed := func(n int) {
 		p := h.pools["p"]
 		p.Status.Machines = append([]engine.MachineStatus(nil), p.Status.Machines...)
