--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	killGraceMs = 900
 	holdMaxMs   = 6000
 	moveTime    = 1500 * time.Millisecond
+	upkeepTime  = 2 * time.Second
 )
 
 // event is something that workers have seen.
@@ -45,15 +47,17 @@
 	lives    int
 	tasks    map[string]taskInfo // by job
 	events   []event
+	waves    map[int][]string // machines by wave
 }
 
 type machine struct {
 	id, pool, state string
 	worker          *worker
+	upkeeps         int
 }
 
 func newPlatform(record *os.File) (*platform, error) {
-	p := &platform{store: newStore(), began: time.Now(), record: record, machines: map[string]*machine{}, tasks: map[string]taskInfo{}}
+	p := &platform{store: newStore(), began: time.Now(), record: record, machines: map[string]*machine{}, tasks: map[string]taskInfo{}, waves: map[int][]string{}}
 	var err error
 	if p.storeAddr, _, err = serve(p.store); err != nil {
 		return nil, err
@@ -128,10 +132,22 @@
 	switch {
 	case m == nil:
 		w.WriteHeader(http.StatusBadRequest)
-	case r.URL.Path == "/machine-upkeep":
+	case r.URL.Path == "/machine-upkeep" && !p.due(body.Wave, m.id):
 		reply(w, http.StatusConflict, map[string]any{"reason": "wave"})
+	case r.URL.Path == "/machine-upkeep" && m.upkeeps > 0:
+		reply(w, http.StatusOK, map[string]any{}) // done already
 	case m.state != "up":
 		reply(w, http.StatusConflict, map[string]any{"reason": "busy"})
+	case r.URL.Path == "/machine-upkeep":
+		p.note("UPKEEP", "machine %s of wave %d by %s, token %s", m.id, body.Wave, r.Header.Get("Lease-Holder"), r.Header.Get("Fencing-Token"))
+		p.mu.Lock()
+		m.state = "upkeep"
+		m.upkeeps++
+		old := m.worker
+		p.mu.Unlock()
+		old.kill()
+		time.AfterFunc(upkeepTime, func() { _ = p.startWorker(m) })
+		reply(w, http.StatusOK, map[string]any{})
 	default:
 		p.note("MOVE", "machine %s from %s to %s by %s, token %s", m.id, m.pool, body.Pool, r.Header.Get("Lease-Holder"), r.Header.Get("Fencing-Token"))
 		p.mu.Lock()
@@ -144,6 +160,42 @@
 	}
 }
 
+// requestWave writes a wave as the operator does.
+func (p *platform) requestWave(number int, machines []string, within time.Duration, atOnce int) {
+	p.mu.Lock()
+	p.waves[number] = machines
+	p.mu.Unlock()
+	list, _ := json.Marshal(machines)
+	p.store.set("op", fmt.Sprintf("wave/%d", number), []byte(fmt.Sprintf(`{"wave":%d,"machines":%s,"duration-s":%g,"max-count":%d}`, number, list, within.Seconds(), atOnce)))
+	p.note("WAVE", "wave %d requested for %v", number, machines)
+}
+
+func (p *platform) due(wave int, machine string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.waves[wave], machine)
+}
+
+// waveState returns what the system has stored about a wave.
+func (p *platform) waveState(number int) string {
+	for _, r := range p.store.all("status") {
+		var status struct {
+			State string `json:"state"`
+		}
+		if r.Key == fmt.Sprintf("wave/%d", number) && json.Unmarshal(r.Value, &status) == nil {
+			return status.State
+		}
+	}
+	return ""
+}
+
+// upkeeps returns how many upkeeps of a machine have begun.
+func (p *platform) upkeeps(machine string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machines[machine].upkeeps
+}
+
 func (p *platform) listMachines(w http.ResponseWriter) {
 	p.mu.Lock()
 	list := []map[string]any{}
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -48,6 +48,7 @@
 	attempt    int
 	checkpoint string
 	length     time.Duration
+	fails      bool
 	cpu, mem   int
 	began      time.Time
 	stopAt     time.Time
@@ -56,6 +57,7 @@
 // taskInfo is what the stand-ins know of a job: how long its tasks take.
 type taskInfo struct {
 	length   time.Duration
+	fails    bool
 	cpu, mem int
 }
 
@@ -85,6 +87,8 @@
 				w.end(r, "stopped")
 			case w.clock() > w.leaseEnd:
 				w.end(r, "lapsed")
+			case r.stopAt.IsZero() && now.Sub(r.began) >= r.length && r.fails:
+				w.end(r, "failed")
 			case r.stopAt.IsZero() && now.Sub(r.began) >= r.length:
 				w.end(r, "done")
 			}
@@ -240,7 +244,7 @@
 	if cpu > workerCPU || mem > workerMemMB {
 		return "room"
 	}
-	r := &run{task: o.Task, attempt: o.Attempt, checkpoint: o.Checkpoint, length: info.length, cpu: info.cpu, mem: info.mem, began: time.Now()}
+	r := &run{task: o.Task, attempt: o.Attempt, checkpoint: o.Checkpoint, length: info.length, fails: info.fails, cpu: info.cpu, mem: info.mem, began: time.Now()}
 	w.runs = append(w.runs, r)
 	w.p.started(w, r, o)
 	return ""
