--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -30,6 +30,7 @@
 	attempt int
 	worker  string
 	token   uint64
+	spec    string
 }
 
 // platform is the stand-in of everything around the system: the store, the workers and
@@ -218,14 +219,14 @@
 
 func (p *platform) started(w *worker, r *run, o order) {
 	p.mu.Lock()
-	p.events = append(p.events, event{time.Now(), "start", r.task, r.attempt, w.id, o.Token})
+	p.events = append(p.events, event{time.Now(), "start", r.task, r.attempt, w.id, o.Token, o.Spec})
 	p.mu.Unlock()
-	p.note("START", "worker %s (%s) task %s attempt %d token %d", w.id, w.service, r.task, r.attempt, o.Token)
+	p.note("START", "worker %s (%s) task %s attempt %d token %d spec %q", w.id, w.service, r.task, r.attempt, o.Token, shorten(o.Spec))
 }
 
 func (p *platform) ended(w *worker, r *run, how string) {
 	p.mu.Lock()
-	p.events = append(p.events, event{time.Now(), how, r.task, r.attempt, w.id, 0})
+	p.events = append(p.events, event{time.Now(), how, r.task, r.attempt, w.id, 0, ""})
 	p.mu.Unlock()
 	p.note("END", "worker %s task %s attempt %d %s", w.id, r.task, r.attempt, how)
 }
