--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -10,7 +10,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +26,9 @@
 	trouble bool
 }
 
+// maxTime is how long a case may take.
+const maxTime = 115 * time.Second
+
 var cases = map[string]func(*env) error{}
 
 func main() {
@@ -64,14 +69,25 @@
 		}
 	}()
 	for i := range 3 {
-		n, err := newNode(p, dir, fmt.Sprintf("front-z-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i))
+		n, err := newNode(p, dir, fmt.Sprintf("front-z-%d", i+1), fmt.Sprintf("127.0.0.%d", 21+i))
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 2
 		}
 		e.nodes = append(e.nodes, n)
 	}
-	err = c(e)
+	// A case that is stopped or takes too long ends its processes too.
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	result := make(chan error, 1)
+	go func() { result <- c(e) }()
+	select {
+	case err = <-result:
+	case s := <-stopped:
+		err = fmt.Errorf("stopped by signal %s", s)
+	case <-time.After(maxTime):
+		err = fmt.Errorf("not done within %s", maxTime)
+	}
 	switch {
 	case err == nil:
 		p.note("RESULT", "the rule held")
