fleet: count a wave's machine as gone only after lists requested since

Cause: a machine that the planner's last list did not name counted as gone. The list was requested before the wave was known, up to 2 s earlier, and a completed wave is not looked at again. Change: a machine is gone once two lists in a row lack it that were requested after the wave was known; two, since the pages of a list are not read at one moment. A new wave has the list requested at once. "running" is stored before the first list, so that a wave has a true status while the machine service is away. Price: one list for each wave, and 0.5 to 1 s until a machine that left is recognised.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,6 +62,7 @@
 	poolNames         []string // sorted
 	waves             map[int]*wave
 	listPending       bool
+	listsRequested    int  // number of lists requested so far; a list is requested only after the one before was answered
 	listReceived      bool // a list has been received; nothing is planned or ordered before
 	nextListAt        time.Time
 	listSentAt        time.Time // when the latest list was requested
@@ -119,14 +120,6 @@
 	load int
 }
 
-// wave is the state of an upkeep wave.
-type wave struct {
-	WaveRequest
-	upkeepStarted map[string]bool // machines that need no order for this wave any more
-	reported      int             // status in the store; 0: none, 1: running, 2: completed
-	statusPending bool            // a status is being stored
-}
-
 // New returns a planner for a new holder of the fleet's lease. Two holders must not
 // order the same machine within HolderChange, so the machines that the former holder
 // may have ordered wait for that long. Those among them that it may still order with a
@@ -159,15 +152,6 @@
 	return pl
 }
 
-func (pl *Planner) wave(number int) *wave {
-	w, ok := pl.waves[number]
-	if !ok {
-		w = &wave{upkeepStarted: map[string]bool{}}
-		pl.waves[number] = w
-	}
-	return w
-}
-
 // Step applies events and returns the actions to execute. The times of all
 // calls must come from one monotonic clock.
 func (pl *Planner) Step(now time.Time, events ...Event) []Action {
@@ -189,8 +173,8 @@
 		pl.planWaves()
 		pl.planMoves()
 		pl.issueOrders()
-		pl.reportWaves()
 	}
+	pl.reportWaves()
 	return pl.actions
 }
 
@@ -203,9 +187,7 @@
 	case PoolsUpdated:
 		pl.applyPools(e.Pools)
 	case WavesUpdated:
-		for number, request := range e.Waves {
-			pl.wave(number).WaveRequest = request
-		}
+		pl.applyWaves(e.Waves)
 	case RowStored:
 		for _, id := range e.Machines {
 			if m := pl.machines[id]; m != nil && m.plan != nil && m.plan.rowVersion == 0 {
@@ -215,14 +197,7 @@
 	case OrderResult:
 		pl.applyOrderResult(e)
 	case WaveStatusStored:
-		w := pl.wave(e.Wave)
-		w.statusPending = false
-		if e.OK {
-			w.reported = 1
-			if e.Done {
-				w.reported = 2
-			}
-		}
+		pl.applyStatusStored(e)
 	}
 }
 
@@ -231,6 +206,7 @@
 		return
 	}
 	pl.listPending, pl.listSentAt = true, pl.now
+	pl.listsRequested++
 	pl.emit(ListMachines{})
 }
 
@@ -259,20 +235,12 @@
 		hasPlan = hasPlan || m.plan != nil
 	}
 	slices.SortFunc(pl.machineList, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
+	pl.recordAbsences()
 	if !hasPlan && !pl.waveOpen() {
 		pl.nextListAt = pl.now.Add(idleListInterval)
 	}
 }
 
-func (pl *Planner) waveOpen() bool {
-	for _, w := range pl.waves {
-		if w.Number > 0 && w.reported < 2 {
-			return true
-		}
-	}
-	return false
-}
-
 func (pl *Planner) applyPools(pools map[string]Pool) {
 	statuses := map[string]engine.MachineStatus{}
 	for name, update := range pools {
@@ -302,19 +270,6 @@
 	return p
 }
 
-// UpkeepStarted returns for each wave the machines whose upkeep was started or
-// refused for good. The caller stores them in the fleet's row.
-func (pl *Planner) UpkeepStarted() map[int][]string {
-	started := map[int][]string{}
-	for number, w := range pl.waves {
-		for id := range w.upkeepStarted {
-			started[number] = append(started[number], id)
-		}
-		slices.Sort(started[number])
-	}
-	return started
-}
-
 // recountPools recomputes the counts of all pools.
 func (pl *Planner) recountPools() {
 	for _, p := range pl.pools {
@@ -420,22 +375,6 @@
 	return pl.now.Sub(m.plan.plannedAt) > 2*pl.cfg.MaxLease
 }
 
-// countInUpkeep returns the number of machines of a wave that are in upkeep or,
-// because of an order, may be.
-func (pl *Planner) countInUpkeep(w *wave) int {
-	n := 0
-	for _, id := range w.Machines {
-		m := pl.machines[id]
-		if m == nil {
-			continue
-		}
-		if m.State == workload.MachineUpkeep || m.plan != nil && m.plan.wave == w.Number && (m.plan.orderPending || !m.plan.doneAt.IsZero()) {
-			n++
-		}
-	}
-	return n
-}
-
 func (pl *Planner) applyOrderResult(e OrderResult) {
 	m := pl.machines[e.Machine]
 	if m == nil || m.plan == nil {
@@ -468,29 +407,3 @@
 		pl.emit(Superseded{})
 	}
 }
-
-// reportWaves reports to the operator that waves are running or completed.
-func (pl *Planner) reportWaves() {
-	for number, w := range pl.waves {
-		if w.Number == 0 || w.statusPending || w.reported == 2 {
-			continue
-		}
-		done := pl.countUpkeepPending(w) == 0
-		if done || w.reported == 0 {
-			w.statusPending = true
-			pl.emit(StoreWaveStatus{Wave: number, Done: done})
-		}
-	}
-}
-
-// countUpkeepPending returns the number of machines of a wave whose upkeep has
-// not started.
-func (pl *Planner) countUpkeepPending(w *wave) int {
-	n := 0
-	for _, id := range w.Machines {
-		if pl.machines[id] != nil && !w.upkeepStarted[id] {
-			n++
-		}
-	}
-	return n
-}
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -21,7 +21,7 @@
 func (pl *Planner) planWaves() {
 	for _, number := range pl.waveNumbers() {
 		w := pl.waves[number]
-		if w.Number == 0 || w.reported == 2 {
+		if !w.open() {
 			continue
 		}
 		atRisk := pl.deadlineAtRisk(w)
@@ -140,7 +140,7 @@
 	var pending []string
 	for _, number := range pl.waveNumbers() {
 		w := pl.waves[number]
-		if w.Number == 0 || w.reported == 2 {
+		if !w.open() {
 			continue
 		}
 		for _, id := range w.Machines {
--- a/fleet/wave_test.go
+++ b/fleet/wave_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // Machines with long-running tasks were drained at a pace that met the deadline of a
@@ -25,3 +27,80 @@
 	// 14 machines of 6 s each, in three quarters of 20 s less the time of the last one
 	require.Len(t, h.planner.MachinesToRelease(), 10)
 }
+
+// A wave for machines that had just been added was reported as completed without their
+// upkeep: the planner's last list was from before, and machines that it lacked counted as
+// gone (review/4).
+func TestWaveOfNewMachinesIsNotCompletedWithoutTheirUpkeep(t *testing.T) {
+	h := newHarness(false)
+	h.addMachine("m1", "spare", "")
+	h.step()
+	h.addMachine("m2", "spare", "")
+	h.addMachine("m3", "spare", "")
+	h.step(waveRequested(2, "m2", "m3"))
+	h.advance(200 * time.Millisecond)
+	require.Len(t, h.upkeeps, 2, "the list is read again at once")
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}, {Wave: 1, Done: true}}, h.statuses)
+}
+
+// unansweredLists passes events to the planner and returns the number of lists that it
+// requests and the statuses that it stores. The test decides when a list arrives.
+func unansweredLists(pl *Planner, now time.Time, events ...Event) (lists int, statuses []StoreWaveStatus) {
+	for _, a := range pl.Step(now, events...) {
+		switch a := a.(type) {
+		case ListMachines:
+			lists++
+		case StoreWaveStatus:
+			statuses = append(statuses, a)
+			_, more := unansweredLists(pl, now, WaveStatusStored{Wave: a.Wave, Done: a.Done, OK: true})
+			statuses = append(statuses, more...)
+		}
+	}
+	return lists, statuses
+}
+
+// A list that was requested before a wave was known says nothing about the wave's
+// machines, even if it arrives later. A single later list without a machine is no proof
+// either, because its pages are read one after the other.
+func TestMachinesAreGoneOnlyByTwoLaterLists(t *testing.T) {
+	without := MachinesListed{OK: true, Machines: []workload.Machine{{ID: "m1", Pool: "p", State: workload.MachineUp}}}
+	with := MachinesListed{OK: true, Machines: append(without.Machines, workload.Machine{ID: "m2", Pool: "p", State: workload.MachineUp})}
+	pl, now := New(start, config(), Former{}), start
+	lists, _ := unansweredLists(pl, now)
+	require.Equal(t, 1, lists)
+	lists, statuses := unansweredLists(pl, now, waveRequested(1, "m2"))
+	require.Zero(t, lists, "a list is under way")
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}}, statuses)
+	nextList := func(e MachinesListed) (statuses []StoreWaveStatus) {
+		_, statuses = unansweredLists(pl, now, e)
+		now = now.Add(activeListInterval)
+		lists, more := unansweredLists(pl, now)
+		require.Equal(t, 1, lists)
+		return append(statuses, more...)
+	}
+	require.Empty(t, nextList(without), "requested before the wave was known")
+	require.Empty(t, nextList(without), "one list")
+	require.Empty(t, nextList(with))
+	require.Empty(t, nextList(without))
+	require.Empty(t, nextList(MachinesListed{}), "a list that failed")
+	_, statuses = unansweredLists(pl, now, without)
+	require.Equal(t, []StoreWaveStatus{{Wave: 1, Done: true}}, statuses)
+}
+
+// A wave whose machines are all gone must still be reported as completed, and one whose
+// machines are not known, because the machine service does not answer, as running.
+func TestWaveOfGoneMachinesEnds(t *testing.T) {
+	h := newHarness(false)
+	h.step()
+	h.step(waveRequested(1, "m8", "m9"))
+	h.advance(2 * activeListInterval)
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}, {Wave: 1, Done: true}}, h.statuses)
+
+	pl := New(start, config(), Former{})
+	_, statuses := unansweredLists(pl, start, waveRequested(1, "m8"))
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}}, statuses)
+	for n := range 20 {
+		_, statuses := unansweredLists(pl, start.Add(time.Duration(n)*time.Second), MachinesListed{})
+		require.Empty(t, statuses)
+	}
+}
