intake: store a tombstone for a cancelled job that is not stored

Cause: the answer was drawn from an absence that could still change, and nothing remembered it. A submission at a paused VM, in the network, or as a write that the store executes late was accepted after it. Change: the DELETE stores a tombstone, on the condition that no submission exists, before it is answered; a submission is stored on the condition that no tombstone exists. Both rows are in one part, so one of the two transactions fails in any order, and no VM has to remember anything. A later POST of the id gets 410 with a reason. TestSimpleReplies expected the answer without a write; it now expects the write and the same answer after it. Price: one write for each DELETE of a job that is not stored.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/carobwharf/carobwharf/pacing"
 	"github.com/carobwharf/carobwharf/workload"
 )
 
@@ -45,12 +46,13 @@
 	NoJob
 	Malformed
 	IDConflict    // a different job with this id is stored
+	CancelledID   // the id was cancelled before a job with it was stored; it is not accepted
 	Found         // State is set
 	WaitingCount  // Waiting is set
 	Indeterminate // it is unknown whether the request took effect; the caller may retry
 )
 
-var outcomeNames = [...]string{"accepted", "not-accepted", "no-queue", "no-job", "malformed", "differs", "found", "count", "unsure"}
+var outcomeNames = [...]string{"accepted", "not-accepted", "no-queue", "no-job", "malformed", "differs", "cancelled", "found", "count", "unsure"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
@@ -84,10 +86,11 @@
 
 // Operations on the store.
 const (
-	Insert Op = iota // store the submission unless one with its id exists
+	Insert Op = iota // store the submission unless one with its id, or a tombstone for it, exists
 	ReadSubmission
 	ReadProgress
 	PutCancel
+	PutTombstone // store that no submission with this id is accepted any more, unless one exists
 )
 
 // Result is the outcome of a call to the store.
@@ -96,7 +99,8 @@
 // Results of store calls.
 const (
 	Done        Result = iota
-	Exists             // an Insert found a submission with the same id; Submission is that one
+	Exists             // an Insert or a PutTombstone found a submission with the same id; Submission is that one
+	Cancelled          // an Insert found a tombstone for the id
 	NotFound           // the row to read does not exist
 	Unavailable        // the call had no effect
 	Unknown            // the call may have taken effect
@@ -159,12 +163,15 @@
 	unansweredSince time.Time // first call since the last answer of the store; zero: no call since then
 	nextProbe       time.Time // earliest time of the next probe while the store is unresponsive
 	failingSince    time.Time // since when all regular reads of the store fail; zero: some succeed
+	tombstones      *pacing.Pacer
 	calls           []Call
 	replies         []Reply
 }
 
 // New returns a handler without a configuration.
-func New() *Handler { return &Handler{requests: map[uint64]*pendingRequest{}} }
+func New() *Handler {
+	return &Handler{requests: map[uint64]*pendingRequest{}, tombstones: newTombstonePacer()}
+}
 
 // Configure replaces the configuration if c is a later version, and reports
 // whether it did.
@@ -347,6 +354,8 @@
 		h.handleInsert(p, a)
 	case PutCancel:
 		h.addReply(p, Reply{Outcome: Accepted, Reason: "cancellation is stored"})
+	case PutTombstone:
+		h.handleTombstone(now, p, a)
 	case ReadProgress:
 		h.handleProgressRead(now, p, a)
 	case ReadSubmission:
@@ -359,6 +368,10 @@
 		h.addReply(p, Reply{Outcome: Malformed, Reason: "the job is too large to be stored"})
 		return
 	}
+	if a.Result == Cancelled {
+		h.addReply(p, Reply{Outcome: CancelledID, Reason: "a job with this id was cancelled before it was submitted"})
+		return
+	}
 	if a.Result == Exists && !sameSubmission(a.Submission, p.Submission) {
 		h.addReply(p, Reply{Outcome: IDConflict, Reason: "the id belongs to another job"})
 		return
@@ -389,6 +402,8 @@
 
 func (h *Handler) handleSubmissionRead(now time.Time, p *pendingRequest, a Answer) {
 	switch {
+	case a.Result == NotFound && p.Kind == Cancel:
+		h.cancelUnstored(now, p)
 	case a.Result == NotFound:
 		h.addReply(p, Reply{Outcome: NoJob})
 	case p.Kind == Cancel:
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -160,6 +160,8 @@
 	h.HandleRequest(start, newRequest(Cancel, "/a/"+jobID))
 	onlyCall(t, h)
 	h.HandleAnswer(start, Answer{Number: 1, Op: ReadSubmission, Result: NotFound})
+	require.Equal(t, PutTombstone, onlyCall(t, h).Op)
+	h.HandleAnswer(start, Answer{Number: 1, Op: PutTombstone, Result: Done})
 	require.Equal(t, NoJob, onlyReply(t, h).Outcome)
 }
 
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -200,9 +201,11 @@
 	var err error
 	switch c.Op {
 	case intake.Insert:
-		err = d.insert(ctx, store.KeyWork(queue, c.Job), c, &a)
+		err = d.insert(ctx, queue, c, &a)
 	case intake.PutCancel:
-		_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(queue, c.Job), Value: []byte("{}")}})
+		err = d.putCancel(ctx, queue, c.Job)
+	case intake.PutTombstone:
+		err = d.putTombstone(ctx, queue, c.Job, &a)
 	case intake.ReadSubmission:
 		var row store.Row
 		if row, err = d.Table.Get(ctx, store.KeyWork(queue, c.Job)); err == nil {
@@ -227,7 +230,8 @@
 	return a
 }
 
-func (d *Duty) insert(ctx context.Context, key string, c intake.Call, a *intake.Answer) error {
+// insert stores a submission unless one with its id or a tombstone for it exists.
+func (d *Duty) insert(ctx context.Context, queue string, c intake.Call, a *intake.Answer) error {
 	value, err := rows.EncodeWork(c.Submission)
 	if err != nil {
 		return err
@@ -236,15 +240,47 @@
 		a.Result = intake.TooLarge
 		return nil
 	}
-	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: key, Value: value}})
+	work, cancel := store.KeyWork(queue, c.Job), store.KeyWorkCancel(queue, c.Job)
+	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: work, Value: value}, {Kind: store.OpCheck, Key: cancel}})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	a.Result = intake.Exists
-	if len(conflict.Rows) == 0 {
-		return store.ErrUnavailable
+	if row, ok := conflict.Row(work); ok {
+		a.Result = intake.Exists
+		a.Submission, err = rows.DecodeWork(row.Value)
+		return err
+	}
+	if _, ok := conflict.Row(cancel); ok {
+		a.Result = intake.Cancelled
+		return nil
+	}
+	return fmt.Errorf("%w: a conflict without the row", store.ErrUnavailable)
+}
+
+func (d *Duty) putCancel(ctx context.Context, queue, job string) error {
+	value, err := rows.EncodeCancellation(rows.Cancellation{})
+	if err != nil {
+		return err
+	}
+	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(queue, job), Value: value}})
+	return err
+}
+
+// putTombstone stores a tombstone for a job unless its submission exists. One that is
+// there already is written again, so that its age counts from this cancellation.
+func (d *Duty) putTombstone(ctx context.Context, queue, job string, a *intake.Answer) error {
+	value, err := rows.EncodeCancellation(rows.Cancellation{Unsubmitted: true})
+	if err != nil {
+		return err
+	}
+	_, err = d.Table.Commit(ctx, []store.Op{
+		{Kind: store.OpCheck, Key: store.KeyWork(queue, job)}, {Kind: store.OpPut, Key: store.KeyWorkCancel(queue, job), Value: value},
+	})
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		a.Result = intake.Exists
+		return nil
 	}
-	a.Submission, err = rows.DecodeWork(conflict.Rows[0].Value)
 	return err
 }
--- a/rows/work.go
+++ b/rows/work.go
@@ -20,6 +20,21 @@
 	return decode[workload.Submission]("submission", value)
 }
 
+// Cancellation is the value of a cancellation's row in the table store.TableWork.
+type Cancellation struct {
+	// Unsubmitted marks a tombstone: the id was cancelled while no submission with it
+	// was stored. The row and a submission never exist at the same time.
+	Unsubmitted bool `json:"unsubmitted,omitempty"`
+}
+
+// EncodeCancellation encodes a cancellation.
+func EncodeCancellation(c Cancellation) ([]byte, error) { return encode("cancellation", c) }
+
+// DecodeCancellation decodes a cancellation.
+func DecodeCancellation(value []byte) (Cancellation, error) {
+	return decode[Cancellation]("cancellation", value)
+}
+
 // EncodeProgress encodes the progress of a job.
 func EncodeProgress(p workload.Progress) ([]byte, error) { return encode("progress", p) }
 
--- a/store/store.go
+++ b/store/store.go
@@ -42,6 +42,17 @@
 	return fmt.Sprintf("condition failed for %s", strings.Join(e.Keys, ", "))
 }
 
+// Row returns the current state of a row with a condition. ok is false if the row does
+// not exist or the platform does not return it.
+func (e *ConflictError) Row(key string) (_ Row, ok bool) {
+	for _, r := range e.Rows {
+		if r.Key == key && r.Version > 0 {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
 // Row is one row of the table. Versions start at 1 and increase with each write
 // of the row. A row that is deleted and inserted again does not reuse a version.
 type Row struct {
