pools: remove tombstones at the end of their lifetime

Cause: tombstones are stored for jobs that may never exist, and nothing removed them; cancellations of made-up ids could fill the store. Change: the owner of the queue's pool removes them 20 minutes after it has read them, on the condition that the row is still of that version; a DELETE that is repeated writes the row again and so starts a new life. 20 minutes exceed the 15.4 minutes for which a kernel retransmits the data of a closed connection and the 4 minutes after whose suspension a process now ends, so that requests on its sockets can't come later than their cancellation holds. Ruled out: a time stamp in the row (clocks of VMs jump) and removal by the VM that stored it (lost with the VM). Bound: 1,300 rows for each VM; at most two transactions a second of an owner remove them.

--- a/intake/tombstone_test.go
+++ b/intake/tombstone_test.go
@@ -83,3 +83,38 @@
 	cancelUnknownJob(t, h, start.Add(time.Second))
 	require.Equal(t, PutTombstone, onlyCall(t, h).Op)
 }
+
+func wholePart(string) string { return "" }
+
+// A tombstone that is removed while the submission that it has to stop may still arrive
+// breaks the promise of its cancellation. One that is written again starts a new life.
+func TestTombstoneIsKeptForItsLifetime(t *testing.T) {
+	var stones Tombstones
+	stones.Add(start, Tombstone{Key: "a", Version: 1})
+	stones.Add(start.Add(time.Minute), Tombstone{Key: "a", Version: 1}) // read again
+	stones.Add(start.Add(time.Second), Tombstone{Key: "b", Version: 2})
+	require.Empty(t, stones.Expired(start.Add(TombstoneLifetime-1), 9, wholePart))
+	require.Equal(t, []Tombstone{{Key: "a", Version: 1}}, stones.Expired(start.Add(TombstoneLifetime), 9, wholePart))
+	require.Len(t, stones.Expired(start.Add(TombstoneLifetime+time.Second), 9, wholePart), 2)
+	require.Len(t, stones.Expired(start.Add(TombstoneLifetime+time.Second), 1, wholePart), 1)
+
+	stones.Add(start.Add(TombstoneLifetime), Tombstone{Key: "a", Version: 3})
+	stones.Forget(Tombstone{Key: "a", Version: 1})
+	require.Equal(t, []Tombstone{{Key: "b", Version: 2}}, stones.Expired(start.Add(TombstoneLifetime+time.Second), 9, wholePart))
+	require.Equal(t, 2, stones.Len())
+	stones.Remove("b")
+	require.Equal(t, []Tombstone{{Key: "a", Version: 3}}, stones.Expired(start.Add(3*TombstoneLifetime), 9, wholePart))
+	stones.Forget(Tombstone{Key: "a", Version: 3})
+	require.Empty(t, stones.Expired(start.Add(3*TombstoneLifetime), 9, wholePart))
+	require.Zero(t, stones.Len())
+}
+
+// The platform's transactions cover one part.
+func TestExpiredTombstonesAreOfOnePart(t *testing.T) {
+	var stones Tombstones
+	for _, key := range []string{"x1", "y1", "x2"} {
+		stones.Add(start, Tombstone{Key: key, Version: 1})
+	}
+	expired := stones.Expired(start.Add(TombstoneLifetime), 9, func(key string) string { return key[:1] })
+	require.Equal(t, []Tombstone{{Key: "x1", Version: 1}, {Key: "x2", Version: 1}}, expired)
+}
--- a/node/intake/cancel_test.go
+++ b/node/intake/cancel_test.go
@@ -95,3 +95,14 @@
 	require.Equal(t, intake.Accepted, send(t, d, intake.Submit, cancelledJob))
 	require.Equal(t, intake.Found, send(t, d, intake.QueryState, cancelledJob))
 }
+
+// After a suspension that outlasts the tombstones, a submission that was cancelled before
+// it could be read from a socket of this process and stored. The process has to end, so
+// that its connections do.
+func TestLongSuspensionEndsTheProcess(t *testing.T) {
+	d := New(Options{Log: hclog.NewNullLogger(), Metrics: metrics.New()})
+	now := time.Unix(1000, 0)
+	d.lastTurn = now
+	require.NoError(t, d.checkPause(now.Add(intake.MaxPause)))
+	require.ErrorIs(t, d.checkPause(now.Add(2*intake.MaxPause+time.Second)), ErrSuspended)
+}
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -30,12 +30,19 @@
 	// storeTimeout is the timeout of one call. A call on a dead connection takes
 	// this long.
 	storeTimeout = 900 * time.Millisecond
+	// pauseCheckInterval is the maximum time between two turns of Run, unless the
+	// process is suspended.
+	pauseCheckInterval = time.Second
 )
 
 // ErrStopped is the reason in replies to requests that are open when the duty
 // stops.
 var ErrStopped = errors.New("intake has stopped")
 
+// ErrSuspended is the error of Run after a suspension of the process that was too long to
+// handle requests that may have been received before it.
+var ErrSuspended = errors.New("the process was suspended")
+
 // incomingRequest is a request that waits for the duty.
 type incomingRequest struct {
 	request intake.Request
@@ -60,6 +67,7 @@
 	handler        *intake.Handler
 	open           map[uint64]openRequest
 	lastNumber     uint64
+	lastTurn       time.Time // steady time of the last turn of Run
 	stopped        chan struct{}
 }
 
@@ -108,27 +116,52 @@
 func (d *Duty) Run(ctx context.Context) error {
 	defer close(d.stopped)
 	defer d.callPool.Stop()
+	tick := time.NewTicker(pauseCheckInterval)
+	defer tick.Stop()
+	d.lastTurn = steady.Now()
 	for {
+		handle := func() {}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case v := <-d.Views.C():
-			d.handleView(v)
+			handle = func() { d.handleView(v) }
 		case q := <-d.incoming.C():
-			d.lastNumber++
-			q.request.Number = d.lastNumber
-			now := steady.Now()
-			d.open[d.lastNumber] = openRequest{reply: q.reply, arrived: now, kind: q.request.Kind}
-			d.handler.HandleRequest(now, q.request)
+			handle = func() { d.handleIncoming(q) }
 		case reply := <-d.stateRequester.Requests():
-			reply <- Report{Configuration: d.handler.Version(), Pending: d.handler.Pending()}
+			handle = func() { reply <- Report{Configuration: d.handler.Version(), Pending: d.handler.Pending()} }
 		case a := <-d.answers.C():
-			d.handler.HandleAnswer(steady.Now(), a)
+			handle = func() { d.handler.HandleAnswer(steady.Now(), a) }
+		case <-tick.C:
+		}
+		if err := d.checkPause(steady.Now()); err != nil {
+			return err
 		}
+		handle()
 		d.perform(ctx)
 	}
 }
 
+// checkPause returns an error if the process has been suspended for longer than
+// intake.MaxPause since the last turn of Run. The process then ends, and with it the
+// connections that may hold submissions whose cancellations have been forgotten.
+func (d *Duty) checkPause(now time.Time) error {
+	pause := now.Sub(d.lastTurn)
+	d.lastTurn = now
+	if pause > intake.MaxPause {
+		return fmt.Errorf("%w for %s", ErrSuspended, pause.Round(time.Second))
+	}
+	return nil
+}
+
+func (d *Duty) handleIncoming(q incomingRequest) {
+	d.lastNumber++
+	q.request.Number = d.lastNumber
+	now := steady.Now()
+	d.open[d.lastNumber] = openRequest{reply: q.reply, arrived: now, kind: q.request.Kind}
+	d.handler.HandleRequest(now, q.request)
+}
+
 // Report is the duty's entry in the state dump.
 type Report struct {
 	Configuration uint64 // version of the configuration; 0: none
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -44,6 +44,9 @@
 			wake = times.Earlier(wake, at)
 		}
 	}
+	if p.engine != nil && p.Valid(now) {
+		d.removeTombstones(ctx, now, p)
+	}
 	return times.Earlier(wake, d.writeDue(ctx, now, p))
 }
 
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
+	"github.com/carobwharf/carobwharf/intake"
 	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/holder"
@@ -34,6 +35,9 @@
 	jobsReadSent   time.Time       // when the latest complete read of the pool's jobs was sent
 	unreadQueues   []string        // names of queues that were configured after the pool's jobs had been read
 	missedChanges  bool            // changes of the work table were missed; the jobs must be read again
+	tombstones     intake.Tombstones
+	removing       bool      // a write that removes tombstones is in progress
+	removeAt       time.Time // earliest next write that removes tombstones
 }
 
 // addEvent queues an event for the engine. It drops the event if there is no
@@ -47,6 +51,7 @@
 // reset drops the state of a lease term that has ended.
 func (p *pool) reset() {
 	p.engine, p.events, p.earlyChanges, p.pendingBatch, p.storedLoadRow, p.pendingLoadRow = nil, nil, nil, nil, nil, nil
+	p.tombstones = intake.Tombstones{}
 }
 
 // Results of calls, posted by the goroutines of storePool and callPool.
@@ -110,6 +115,8 @@
 		d.handleJobsRead(r)
 	case jobsFound:
 		d.handleJobsFound(r)
+	case tombstonesRemoved:
+		d.handleTombstonesRemoved(r)
 	case callAnswered:
 		d.load.recordWait(time.Since(r.answered))
 		if p := d.pools[r.pool]; p.engine != nil && p.Control.Token == r.token {
@@ -284,11 +291,14 @@
 // row is a submission to the pool that can be scheduled, otherwise 0. progressByJob is
 // nil if progress was not read; in it, nil stands for progress that can't be decoded.
 func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
-	if c.Removed {
+	if id, ok := store.CancelledWork(c.Key); ok {
+		d.recordTombstone(p, c)
+		if !c.Removed {
+			p.addEvent(engine.CancelRequested{Job: id})
+		}
 		return 0
 	}
-	if id, ok := store.CancelledWork(c.Key); ok {
-		p.addEvent(engine.CancelRequested{Job: id})
+	if c.Removed {
 		return 0
 	}
 	work, err := rows.DecodeWork(c.Value)
--- a/store/keys.go
+++ b/store/keys.go
@@ -104,6 +104,12 @@
 	return queue
 }
 
+// WorkPart returns the part of TableWork that holds the row with this key.
+func WorkPart(key string) string {
+	part, _, _ := strings.Cut(strings.TrimPrefix(key, TableWork+"/"), "/")
+	return part
+}
+
 // CancelledWork returns the ID of the job submission that the row with this key
 // cancels. ok is false if the row is not a cancellation.
 func CancelledWork(key string) (id string, ok bool) {
