intake: don't send a submission after its caller's deadline

Cause: a call to the store was sent whenever its goroutine ran. A process that was paused between the decision and the sending stored the job when it woke, however long its caller had left. Change: an insert whose deadline has passed is answered as not sent, so the caller, if it still listens, is told that the job was not accepted. Measured: TestSubmissionIsNotSentAfterItsDeadline fails before (the insert is sent) and passes after.

--- a/node/intake/cancel_test.go
+++ b/node/intake/cancel_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/carobwharf/carobwharf/intake"
+	"github.com/carobwharf/carobwharf/internal/steady"
 	"github.com/carobwharf/carobwharf/metrics"
 	"github.com/carobwharf/carobwharf/node/board"
 	platformstore "github.com/carobwharf/carobwharf/platform/store"
@@ -106,3 +107,18 @@
 	require.NoError(t, d.checkPause(now.Add(intake.MaxPause)))
 	require.ErrorIs(t, d.checkPause(now.Add(2*intake.MaxPause+time.Second)), ErrSuspended)
 }
+
+// A process that was paused between the decision on a submission and its sending stored
+// the job after its caller's deadline. The caller has left by then and may have cancelled.
+func TestSubmissionIsNotSentAfterItsDeadline(t *testing.T) {
+	table := &fakeTable{}
+	d := New(Options{Table: table, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
+	call := intake.Call{Number: 1, Op: intake.Insert, Job: cancelledJob, Deadline: steady.Now().Add(-time.Millisecond)}
+	d.runCall(context.Background(), call)
+	require.Equal(t, intake.Answer{Number: 1, Op: intake.Insert, Result: intake.Unavailable}, <-d.answers.C())
+	require.Zero(t, table.commits)
+	call.Deadline = steady.Now().Add(time.Minute)
+	d.runCall(context.Background(), call)
+	require.Equal(t, intake.Done, (<-d.answers.C()).Result)
+	require.Equal(t, 1, table.commits)
+}
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -219,10 +219,15 @@
 	if c.Delay > 0 {
 		time.Sleep(c.Delay)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	failed := intake.Answer{Number: c.Number, Op: c.Op, Result: intake.Unknown}
-	a := guard.Call(d.Log, "store call", failed, func() intake.Answer { return d.call(callCtx, c) })
+	a := intake.Answer{Number: c.Number, Op: c.Op, Result: intake.Unavailable}
+	// The process may have been paused since the call was decided. The caller has left
+	// after its deadline and may have cancelled the job.
+	if c.Op != intake.Insert || steady.Now().Before(c.Deadline) {
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		failed := intake.Answer{Number: c.Number, Op: c.Op, Result: intake.Unknown}
+		a = guard.Call(d.Log, "store call", failed, func() intake.Answer { return d.call(callCtx, c) })
+	}
 	if err := d.answers.Put(ctx, a); err != nil {
 		return // the duty has stopped
 	}
