fleet: don't count a refused upkeep as begun

Cause: a refusal by the machine service (400, no such machine, or 409, not of that wave) marked the upkeep as begun for good. It is drawn from what the service knows at that moment, and the wave was then reported as completed without the upkeep of a machine that stays. Change: the upkeep is planned again after 2 s, doubling up to a minute, since the machine is emptied before each order. A machine that has left is recognised by the lists that lack it. Measured: TestRefusedUpkeepIsNotBegun fails before (one order, "completed") and passes after.

--- a/fleet/event.go
+++ b/fleet/event.go
@@ -49,7 +49,7 @@
 const (
 	Done      Result = iota
 	Busy             // the machine is not up, or it is about to leave
-	Refused          // the order can't be carried out; a retry is useless
+	Refused          // the order can't be carried out at present
 	Fenced           // a later lease holder has issued an order for the machine
 	Unreached        // the order was certainly not carried out
 	Unknown          // the order may have been carried out
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,11 @@
 	idleListInterval = 2 * time.Second
 	// orderRetryInterval is the minimum time between orders for one machine.
 	orderRetryInterval = 200 * time.Millisecond
+	// minRefusedRetry and maxRefusedRetry bound the time after which the upkeep of a
+	// machine is planned again that the machine service has refused. The time doubles
+	// with each refusal, because the machine is emptied before each order.
+	minRefusedRetry = 2 * time.Second
+	maxRefusedRetry = time.Minute
 	// lateOrderTime is how long after the end of its lease an order of the former holder
 	// may still be carried out: the time-out of a call to the machine service.
 	lateOrderTime = time.Second
@@ -401,7 +406,7 @@
 	case Refused:
 		m.plan = nil
 		if p.wave > 0 {
-			pl.wave(p.wave).upkeepStarted[m.ID] = true // a retry would be refused too
+			pl.wave(p.wave).recordRefusal(pl.now, m.ID)
 		}
 	case Fenced:
 		pl.emit(Superseded{})
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -91,7 +91,7 @@
 	var candidates []*machine
 	for _, id := range w.Machines {
 		m := pl.machines[id]
-		if m != nil && pl.available(m) && !w.upkeepStarted[id] {
+		if m != nil && pl.available(m) && !w.upkeepStarted[id] && !pl.now.Before(w.refusals[id].retryAt) {
 			candidates = append(candidates, m)
 		}
 	}
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -14,17 +15,34 @@
 // wave is the state of an upkeep wave.
 type wave struct {
 	WaveRequest
-	upkeepStarted map[string]bool // machines that need no order for this wave any more
+	upkeepStarted map[string]bool // machines whose upkeep has started
 	firstList     int             // number of the first list that was requested after the wave was known
 	absences      map[string]int  // by machine: number of latest lists in a row, from firstList on, that lack it
-	reported      int             // status in the store; 0: none, 1: running, 2: completed
-	statusPending bool            // a status is being stored
+	refusals      map[string]refusal
+	reported      int  // status in the store; 0: none, 1: running, 2: completed
+	statusPending bool // a status is being stored
+}
+
+// refusal says how often the machine service has refused the upkeep of a machine, and
+// when it may be planned again.
+type refusal struct {
+	count   int
+	retryAt time.Time
+}
+
+// recordRefusal records that the machine service refused an upkeep. That does not mean
+// that none is due: the service may not know the wave yet.
+func (w *wave) recordRefusal(now time.Time, id string) {
+	r := w.refusals[id]
+	r.retryAt = now.Add(min(maxRefusedRetry, minRefusedRetry<<min(r.count, 5)))
+	r.count++
+	w.refusals[id] = r
 }
 
 func (pl *Planner) wave(number int) *wave {
 	w, ok := pl.waves[number]
 	if !ok {
-		w = &wave{upkeepStarted: map[string]bool{}, absences: map[string]int{}}
+		w = &wave{upkeepStarted: map[string]bool{}, absences: map[string]int{}, refusals: map[string]refusal{}}
 		pl.waves[number] = w
 	}
 	return w
@@ -85,8 +103,8 @@
 	}
 }
 
-// UpkeepStarted returns for each wave the machines whose upkeep was started or
-// refused for good. The caller stores them in the fleet's row.
+// UpkeepStarted returns for each wave the machines whose upkeep was started. The caller
+// stores them in the fleet's row.
 func (pl *Planner) UpkeepStarted() map[int][]string {
 	started := map[int][]string{}
 	for number, w := range pl.waves {
--- a/fleet/wave_test.go
+++ b/fleet/wave_test.go
@@ -104,3 +104,21 @@
 		require.Empty(t, statuses)
 	}
 }
+
+// A refused upkeep counted as begun, so a wave that the machine service did not know yet,
+// or knew otherwise, was reported as completed without it. It must be ordered again, each
+// time after a longer wait, since a machine is emptied before each order.
+func TestRefusedUpkeepIsNotBegun(t *testing.T) {
+	h := newHarness(false)
+	h.addMachine("m1", "spare", "")
+	h.orderResult = Refused
+	h.step(waveRequested(1, "m1"))
+	h.advance(10 * time.Second)
+	require.Len(t, h.upkeeps, 3, "at 0, 2 and 6 s")
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}}, h.statuses)
+	require.Empty(t, h.planner.UpkeepStarted()[1])
+	h.orderResult = Done
+	h.advance(6 * time.Second)
+	require.Len(t, h.upkeeps, 4)
+	require.Equal(t, StoreWaveStatus{Wave: 1, Done: true}, h.statuses[len(h.statuses)-1])
+}
