fleet: don't take an unreadable entry of the list for a missing machine

Cause: the adapter left entries out that it can't decode, and the planner takes a machine that the list lacks for gone: its wave is completed without its upkeep, and its plan is dropped although an order may be under way. Change: List returns the IDs of such entries. The planner keeps what it knows of these machines. Entries without an ID name no machine, as before. Measured: TestUnreadableMachineIsNotGone fails if the planner ignores the IDs, as before, and passes with the change.

--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -45,7 +45,7 @@
 	for b.Loop() {
 		b.StopTimer()
 		pl := New(start, config(), Former{})
-		pl.Step(start, MachinesListed{OK: true, Machines: machines}, PoolsUpdated{Pools: poolStates})
+		pl.Step(start, MachinesListed{OK: true, MachineList: workload.MachineList{Machines: machines}}, PoolsUpdated{Pools: poolStates})
 		for _, m := range pl.machines {
 			m.plan = nil
 		}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -12,8 +12,8 @@
 
 // MachinesListed is the result of ListMachines.
 type MachinesListed struct {
-	OK       bool // the call succeeded
-	Machines []workload.Machine
+	OK bool // the call succeeded
+	workload.MachineList
 }
 
 // PoolsUpdated carries the state of all pools by name.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -239,8 +239,15 @@
 		pl.machineList = append(pl.machineList, m)
 		hasPlan = hasPlan || m.plan != nil
 	}
+	for _, id := range e.Unreadable {
+		if m := known[id]; m != nil {
+			pl.machines[id] = m
+			pl.machineList = append(pl.machineList, m)
+			hasPlan = hasPlan || m.plan != nil
+		}
+	}
 	slices.SortFunc(pl.machineList, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
-	pl.recordAbsences()
+	pl.recordAbsences(e.Unreadable)
 	if !hasPlan && !pl.waveOpen() {
 		pl.nextListAt = pl.now.Add(idleListInterval)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 	planner     *Planner
 	now         time.Time
 	machines    []workload.Machine
+	unreadable  []string
 	pools       map[string]Pool
 	version     uint64
 	moves       []MoveMachine
@@ -74,7 +76,7 @@
 		for _, a := range actions {
 			switch a := a.(type) {
 			case ListMachines:
-				events = append(events, MachinesListed{OK: true, Machines: append([]workload.Machine(nil), h.machines...)})
+				events = append(events, MachinesListed{OK: true, MachineList: workload.MachineList{Machines: slices.Clone(h.machines), Unreadable: h.unreadable}})
 			case MoveMachine:
 				h.moves = append(h.moves, a)
 				events = append(events, OrderResult{Machine: a.Machine, Result: h.orderResult})
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -61,14 +61,15 @@
 	}
 }
 
-// recordAbsences counts for each open wave which of its machines the latest list lacks.
-func (pl *Planner) recordAbsences() {
+// recordAbsences counts for each open wave which of its machines the latest list lacks. A
+// machine whose entry in the list is unreadable is there.
+func (pl *Planner) recordAbsences(unreadable []string) {
 	for _, w := range pl.waves {
 		if !w.open() || pl.listsRequested < w.firstList {
 			continue
 		}
 		for _, id := range w.Machines {
-			if pl.machines[id] != nil {
+			if pl.machines[id] != nil || slices.Contains(unreadable, id) {
 				delete(w.absences, id)
 				continue
 			}
--- a/fleet/wave_test.go
+++ b/fleet/wave_test.go
@@ -63,8 +63,8 @@
 // machines, even if it arrives later. A single later list without a machine is no proof
 // either, because its pages are read one after the other.
 func TestMachinesAreGoneOnlyByTwoLaterLists(t *testing.T) {
-	without := MachinesListed{OK: true, Machines: []workload.Machine{{ID: "m1", Pool: "p", State: workload.MachineUp}}}
-	with := MachinesListed{OK: true, Machines: append(without.Machines, workload.Machine{ID: "m2", Pool: "p", State: workload.MachineUp})}
+	without := MachinesListed{OK: true, MachineList: workload.MachineList{Machines: []workload.Machine{{ID: "m1", Pool: "p", State: workload.MachineUp}}}}
+	with := MachinesListed{OK: true, MachineList: workload.MachineList{Machines: append(without.Machines, workload.Machine{ID: "m2", Pool: "p", State: workload.MachineUp})}}
 	pl, now := New(start, config(), Former{}), start
 	lists, _ := unansweredLists(pl, now)
 	require.Equal(t, 1, lists)
@@ -122,3 +122,17 @@
 	require.Len(t, h.upkeeps, 4)
 	require.Equal(t, StoreWaveStatus{Wave: 1, Done: true}, h.statuses[len(h.statuses)-1])
 }
+
+// A machine whose entry in the list could not be decoded counted as gone: its wave was
+// completed without its upkeep, and an order for it under way was forgotten.
+func TestUnreadableMachineIsNotGone(t *testing.T) {
+	h := newHarness(false)
+	h.addMachine("m1", "spare", "")
+	h.orderResult = Unknown
+	h.step(waveRequested(2, "m1", "m2"))
+	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
+	h.machines, h.unreadable = nil, []string{"m1", "m2"}
+	h.advance(5 * time.Second)
+	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
+	require.Equal(t, []StoreWaveStatus{{Wave: 1}}, h.statuses)
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -48,7 +48,7 @@
 // Service is the adapter to the platform's machine service. Its methods return
 // the errors of package store and errors of its own for refused orders.
 type Service interface {
-	List(ctx context.Context) ([]workload.Machine, error)
+	List(ctx context.Context) (workload.MachineList, error)
 	Move(ctx context.Context, token uint64, machine, pool string) error
 	Upkeep(ctx context.Context, token uint64, machine string, wave int) error
 }
@@ -353,7 +353,10 @@
 				if err != nil {
 					d.Log.Warn("listing machines failed", "error", err)
 				}
-				return fleet.MachinesListed{OK: err == nil, Machines: list}
+				if len(list.Unreadable) > 0 {
+					d.Log.Warn("can't decode machines of the list", "machines", list.Unreadable)
+				}
+				return fleet.MachinesListed{OK: err == nil, MachineList: list}
 			}))
 		})
 	case fleet.MoveMachine:
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -213,6 +213,12 @@
 	Worker     string // ID of its worker
 }
 
+// MachineList is the platform's list of machines.
+type MachineList struct {
+	Machines   []Machine
+	Unreadable []string // IDs of listed machines of which nothing else is known
+}
+
 // MachineState is the state of a machine.
 type MachineState string
 
