fleet: keep the plan of a machine that a single list lacks

Cause: the planner replaced what it knew by each list. A machine that one list lacked, because its pages are read one after the other, lost its plan; its pool's owner used it again, although an order without an answer could still be carried out and end the new runs. Measured: TestPlanOutlivesOneListWithoutItsMachine fails before (nothing is to be released) and passes after.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,6 +81,7 @@
 	plan        *plan // nil: none
 	status      engine.MachineStatus
 	statusKnown bool
+	absences    int // number of latest lists in a row that lack it
 }
 
 // plan is the move or upkeep that is planned for a machine.
@@ -224,7 +225,6 @@
 	pl.listReceived, pl.appliedListSentAt = true, pl.listSentAt
 	known := pl.machines
 	pl.machines, pl.machineList = map[string]*machine{}, pl.machineList[:0]
-	hasPlan := false
 	for _, listed := range e.Machines {
 		m := known[listed.ID]
 		if m == nil {
@@ -235,24 +235,38 @@
 		if m.plan == nil || m.plan.doneAt.IsZero() || pl.listSentAt.After(m.plan.doneAt) {
 			m.Machine = listed
 		}
-		pl.machines[listed.ID] = m
-		pl.machineList = append(pl.machineList, m)
-		hasPlan = hasPlan || m.plan != nil
+		m.absences = 0
+		pl.addMachine(listed.ID, m)
 	}
 	for _, id := range e.Unreadable {
 		if m := known[id]; m != nil {
-			pl.machines[id] = m
-			pl.machineList = append(pl.machineList, m)
-			hasPlan = hasPlan || m.plan != nil
+			m.absences = 0
+			pl.addMachine(id, m)
+		}
+	}
+	listAgain := pl.waveOpen()
+	for id, m := range known {
+		if pl.machines[id] != nil {
+			continue
+		}
+		if m.absences++; m.absences < goneAfterAbsences {
+			pl.addMachine(id, m)
+			listAgain = true
 		}
 	}
 	slices.SortFunc(pl.machineList, func(a, b *machine) int { return cmp.Compare(a.ID, b.ID) })
 	pl.recordAbsences(e.Unreadable)
-	if !hasPlan && !pl.waveOpen() {
+	hasPlan := func(m *machine) bool { return m.plan != nil }
+	if !listAgain && !slices.ContainsFunc(pl.machineList, hasPlan) {
 		pl.nextListAt = pl.now.Add(idleListInterval)
 	}
 }
 
+func (pl *Planner) addMachine(id string, m *machine) {
+	pl.machines[id] = m
+	pl.machineList = append(pl.machineList, m)
+}
+
 func (pl *Planner) applyPools(pools map[string]Pool) {
 	statuses := map[string]engine.MachineStatus{}
 	for name, update := range pools {
@@ -348,7 +362,7 @@
 func (pl *Planner) issueOrders() {
 	for _, m := range pl.machineList {
 		p := m.plan
-		if p == nil || p.orderPending || !p.doneAt.IsZero() || pl.now.Before(p.retryAt) || !pl.isReleased(m) {
+		if p == nil || m.absences > 0 || p.orderPending || !p.doneAt.IsZero() || pl.now.Before(p.retryAt) || !pl.isReleased(m) {
 			continue
 		}
 		if p.wave > 0 {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -294,3 +294,35 @@
 	h.advance(2 * time.Second) // the list still shows m2 in its former pool
 	require.Len(t, h.moves, 1)
 }
+
+// A single list without a machine, whose pages were read while others left, dropped the
+// machine's plan. Its pool used it again although an order for it could still be carried
+// out and end the new runs.
+func TestPlanOutlivesOneListWithoutItsMachine(t *testing.T) {
+	h := newHarness(false)
+	h.addMachine("m1", "p", "w1")
+	h.addMachine("m2", "p", "w2")
+	h.addStatus(engine.MachineStatus{Machine: "m1", Worker: "w1", Usable: true})
+	h.orderResult = Unknown
+	h.step(waveRequested(1, "m1"))
+	h.reportRelease(true)
+	h.advance(time.Second)
+	require.NotEmpty(t, h.upkeeps)
+	nextList := func() {
+		h.now = h.planner.nextListAt
+		h.step()
+	}
+	all := h.machines
+	h.machines = all[1:]
+	nextList()
+	orders := len(h.upkeeps)
+	h.advance(activeListInterval - 100*time.Millisecond)
+	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
+	require.Len(t, h.upkeeps, orders, "no order while the list lacks the machine")
+	h.machines = all
+	nextList()
+	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
+	h.machines = all[1:]
+	h.advance(3 * activeListInterval)
+	require.Empty(t, h.planner.MachinesToRelease(), "the machine has left")
+}
--- a/fleet/former.go
+++ b/fleet/former.go
@@ -61,8 +61,8 @@
 	return slices.Compact(ids)
 }
 
-// available reports whether the machine is up, has no plan yet and waits for no order
-// of the former holder.
+// available reports whether the machine is listed as up, has no plan yet and waits for no
+// order of the former holder.
 func (pl *Planner) available(m *machine) bool {
-	return m.plan == nil && m.State == workload.MachineUp && !pl.formerOrdered[m.ID]
+	return m.plan == nil && m.absences == 0 && m.State == workload.MachineUp && !pl.formerOrdered[m.ID]
 }
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -7,8 +7,8 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
-// goneAfterAbsences is the number of lists in a row that must lack a machine of a wave
-// before it counts as gone. A list of several pages is not a snapshot, so a single one may
+// goneAfterAbsences is the number of lists in a row that must lack a machine before it
+// counts as gone. A list of several pages is not a snapshot, so a single one may
 // lack a machine that stays.
 const goneAfterAbsences = 2
 
@@ -69,7 +69,7 @@
 			continue
 		}
 		for _, id := range w.Machines {
-			if pl.machines[id] != nil || slices.Contains(unreadable, id) {
+			if m := pl.machines[id]; m != nil && m.absences == 0 || slices.Contains(unreadable, id) {
 				delete(w.absences, id)
 				continue
 			}
