fleet: count upkeeps that the former holder may have ordered

Cause: a new holder orders machines at once that the former holder did not name, but it did not count those that it did name. While a call of the former holder could still be carried out, it ordered another machine of the same wave, so that more than max-count could be down. Change: for HolderChange after a takeover, the machines of a wave that the former holder may have ordered count as down unless their upkeep is known to have started. Measured: TestNewHolderCountsOrdersOfFormerHolder fails before (m3 is ordered beside m1 and m2 with max-count 1) and passes after.

--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -118,10 +118,14 @@
 }
 
 // countInUpkeep returns the number of machines of a wave that are in upkeep or,
-// because of an order, may be.
+// because of an order of this or the former holder, may be.
 func (pl *Planner) countInUpkeep(w *wave) int {
 	n := 0
 	for _, id := range w.Machines {
+		if pl.formerOrdered[id] && !w.upkeepStarted[id] {
+			n++
+			continue
+		}
 		m := pl.machines[id]
 		if m == nil {
 			continue
--- a/fleet/wave_test.go
+++ b/fleet/wave_test.go
@@ -136,3 +136,15 @@
 	require.Equal(t, []string{"m1"}, h.planner.MachinesToRelease())
 	require.Equal(t, []StoreWaveStatus{{Wave: 1}}, h.statuses)
 }
+
+// A new holder ordered the upkeep of a machine while a call of the former holder for
+// another one of the same wave could still be carried out, so that more machines than the
+// wave allows could be down.
+func TestNewHolderCountsOrdersOfFormerHolder(t *testing.T) {
+	h := formerHarness()
+	h.step(waveRequested(1, "m1", "m2", "m3"))
+	h.advance(config().HolderChange - 200*time.Millisecond)
+	require.Empty(t, h.upkeeps, "m1 or m2 may be down")
+	h.advance(400 * time.Millisecond)
+	require.Len(t, h.upkeeps, 1)
+}
