--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -249,7 +249,8 @@
 		if pl.machines[id] != nil {
 			continue
 		}
-		if m.absences++; m.absences < goneAfterAbsences {
+		m.absences++
+		if m.absences < goneAfterAbsences {
 			pl.addMachine(id, m)
 			listAgain = true
 		}
