--- a/internal/systemtest/soakload_test.go
+++ b/internal/systemtest/soakload_test.go
@@ -59,12 +59,12 @@
 	}
 	var lasting []string // accepted long-running jobs that were not cancelled
 	for ctx.Err() == nil {
-		switch id, j, accepted := s.submitJob(clients, random); {
-		case accepted && j.lasting:
+		switch id, j, outcome := s.submitJob(clients, random); {
+		case outcome == submitAccepted && j.lasting:
 			lasting = append(lasting, id)
-		case accepted:
+		case outcome == submitAccepted:
 			s.pollOrCancel(ctx, clients, random, id, j)
-		case j.undetermined:
+		case outcome == submitUndetermined:
 			s.cancel(clients, random, id) // the submission may still be under way
 		}
 		if len(lasting) > maxLastingJobs {
@@ -81,8 +81,18 @@
 
 func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
-// submitJob submits a job. It repeats attempts without a final answer.
-func (s *soak) submitJob(clients []*fasthttp.Client, random *rand.Rand) (id string, j *jobView, accepted bool) {
+// submitOutcome is what a caller knows about a submission.
+type submitOutcome int
+
+const (
+	submitRefused submitOutcome = iota
+	submitAccepted
+	submitUndetermined // an attempt ended without a final answer
+)
+
+// submitJob submits a job. It repeats attempts without a final answer. Fields of the
+// returned view that the checker updates belong to its goroutine.
+func (s *soak) submitJob(clients []*fasthttp.Client, random *rand.Rand) (id string, j *jobView, outcome submitOutcome) {
 	number := random.Uint64()
 	id = fmt.Sprintf("%016x", number)
 	j = &jobView{queue: users.Prefix, steps: 1 + random.IntN(2), width: 1 + random.IntN(4), occurrences: 1, sent: true}
@@ -117,14 +127,15 @@
 		status, _ := exchange(clients[n], fasthttp.MethodPost, s.nodes[n].callerAddr, j.queue+id, body)
 		if status == fasthttp.StatusOK {
 			s.postUpdate(func(*soakChecker) { j.accepted = true })
-			return id, j, true
+			return id, j, submitAccepted
 		}
 		if status != fasthttp.StatusServiceUnavailable && status != fasthttp.StatusTooManyRequests {
+			outcome = submitUndetermined
 			s.postUpdate(func(*soakChecker) { j.undetermined = true })
 		}
 		time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
 	}
-	return id, j, false
+	return id, j, outcome
 }
 
 // pollOrCancel polls the job's state up to three times, or cancels the job.
