--- a/review/.stand-2/case_pace.go
+++ b/review/.stand-2/case_pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"sync/atomic"
 	"time"
 )
@@ -11,50 +12,55 @@
 // the filling task works.
 const (
 	targetMs       = 100
-	quietTailMs    = 60
-	busyTailMs     = 92
+	quietTailMs    = 30
+	busyTailMs     = 96
 	tailPerPercent = 0.3
+	riseTime       = 5 * time.Second // in which the own part rises from quiet to busy
 	harmTime       = 4 * time.Second // harm-ms
 	contactTime    = 3 * time.Second // contact-ms
 	retransmission = 200 * time.Millisecond
 )
 
-// overtakenPace: one packet to a worker is lost, and sent again after 200 ms. It carries an
-// order on the pace of a filling task, and newer orders on other connections overtake it.
-// Some seconds later the users of the serving task beside it need more.
+// overtakenPace: the users of a serving task become more within some seconds, so that the
+// filling task beside it is slowed down step by step. One packet to the worker is lost, and
+// sent again after 200 ms. It carries an order on the pace, and a newer order on another
+// connection overtakes it.
 func overtakenPace(s *site, trouble bool) int {
-	var own atomic.Int64
-	own.Store(quietTailMs)
+	var rise atomic.Int64 // start of the rise in ms since the start of the case, 0: not yet
+	own := func() int {
+		if rise.Load() == 0 {
+			return quietTailMs
+		}
+		part := float64(time.Since(s.begun).Milliseconds()-rise.Load()) / float64(riseTime.Milliseconds())
+		return quietTailMs + int(min(1, part)*(busyTailMs-quietTailMs))
+	}
 	s.fillStep = 1
-	s.tail = func(fillPace int) int { return int(own.Load()) + int(tailPerPercent*float64(fillPace)) }
+	s.tail = func(fillPace int) int { return own() + int(tailPerPercent*float64(fillPace)) }
 	var lost atomic.Bool
 	s.slowPacket = func(data []byte) time.Duration {
-		if trouble && bytes.HasPrefix(data, []byte("POST /pace")) && bytes.Contains(data, []byte(`"percent":50`)) && !lost.Swap(true) {
-			s.logf("a packet to the worker is lost; it holds the order to work at 50 percent")
+		if trouble && rise.Load() > 0 && bytes.HasPrefix(data, []byte("POST /pace")) && bytes.Contains(data, []byte(`"percent":25`)) && !lost.Swap(true) {
+			s.logf("a packet to the worker is lost; it holds the order to work at 25 percent")
 			return retransmission
 		}
 		return 0
 	}
 	n := s.startSite(1, 2, queueA)
+	stop := s.startTraffic(n[0])
+	defer stop()
 	const id = "00000000000000d1"
 	if !s.submit(n[0], queueA, id, oneCore, 0,
 		step{"count": 1, "cpu": 1000, "mem-mb": 256, "long-running": true, "image": "serve", "target-ms": targetMs},
 		step{"count": 1, "cpu": 1000, "mem-mb": 256, "long-running": true, "image": "fill", "fills": true}) {
 		return failed
 	}
-	for end := time.Now().Add(15 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if tail, pace := s.tailNow(); tail > 0 && pace < 100 {
-			break
-		}
-		if time.Now().After(end) {
-			s.logf("no order on the pace was given")
-			return failed
-		}
+	time.Sleep(3 * time.Second)
+	if tail, pace := s.tailNow(); tail == 0 || pace == 0 {
+		return failed
 	}
-	time.Sleep(contactTime + time.Second)
+	rise.Store(time.Since(s.begun).Milliseconds())
+	s.logf("the users of the serving task become more: its own tail rises from %d to %d ms in %s", quietTailMs, busyTailMs, riseTime)
+	time.Sleep(riseTime + contactTime)
 	// From here on no disruption is near.
-	own.Store(busyTailMs)
-	s.logf("the users of the serving task need more: its own tail is %d ms", busyTailMs)
 	var over time.Time
 	longest := time.Duration(0)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
@@ -65,7 +71,7 @@
 		}
 		if over.IsZero() {
 			over = time.Now()
-			s.logf("the serving task's tail is %d ms, its target %d ms, without the filling task at %d percent it would be %d ms", tail, targetMs, pace, own.Load())
+			s.logf("the serving task's tail is %d ms, its target %d ms, without the filling task at %d percent it would be %d ms", tail, targetMs, pace, own())
 		}
 		longest = max(longest, time.Since(over))
 	}
@@ -79,6 +85,24 @@
 	return held
 }
 
+// startTraffic hands in small jobs, ten a second, until stop is called.
+func (s *site) startTraffic(n *node) (stop func()) {
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				return
+			case <-time.After(100 * time.Millisecond):
+				s.submit(n, queueA, fmt.Sprintf("%016x", 0xf000+i), oneCore, 80*time.Millisecond,
+					step{"count": 2, "cpu": 1000, "mem-mb": 256, "est-runtime-ms": 80})
+			}
+		}
+	}()
+	return func() { close(end); <-ended }
+}
+
 // tailNow returns the tail of the serving task and the pace of the filling one.
 func (s *site) tailNow() (tail, pace int) {
 	s.mu.Lock()
