--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -20,6 +20,7 @@
 	"lost-upkeep-answer": lostUpkeepAnswer,
 	"removed-route":      removedRoute,
 	"late-order":         lateOrder,
+	"hopeless-job":       hopelessJob,
 	"overtaken-pace":     overtakenPace,
 	"stopping-run":       stoppingRun,
 }
--- a/review/.stand-2/site.go
+++ b/review/.stand-2/site.go
@@ -42,9 +42,10 @@
 	runs    []runEvent
 	lengths map[string]taskSpec // by job
 
-	unguarded    bool         // workers don't check their capacity
-	overCapacity atomic.Int64 // starts that brought a worker over its capacity
-	onStop       func()       // called with the first order to stop a run
+	hopeless     map[string]bool // jobs of which each run fails
+	unguarded    bool            // workers don't check their capacity
+	overCapacity atomic.Int64    // starts that brought a worker over its capacity
+	onStop       func()          // called with the first order to stop a run
 
 	slowPacket func(data []byte) time.Duration // delay of a packet to a worker; nil: workers have no proxy
 	tail       func(fillPace int) int          // tail in ms of a serving task beside tasks that fill
--- a/review/.stand-2/worker.go
+++ b/review/.stand-2/worker.go
@@ -137,7 +137,11 @@
 		case clock > w.leaseEnd:
 			over, how = append(over, r), append(how, "lapsed")
 		case r.length > 0 && now.Sub(r.began) >= r.length:
-			over, how = append(over, r), append(how, "done")
+			end := "done"
+			if job, _, _, _ := jobOf(r.task); w.site.hopeless[job] {
+				end = "failed"
+			}
+			over, how = append(over, r), append(how, end)
 		default:
 			left = append(left, r)
 		}
