--- a/review/.stand-2/machines.go
+++ b/review/.stand-2/machines.go
@@ -160,3 +160,14 @@
 		}
 	})
 }
+
+// lose ends a machine for good.
+func (s *site) lose(id string) {
+	s.mu.Lock()
+	v := s.machines[id]
+	old := v.worker
+	delete(s.machines, id)
+	s.mu.Unlock()
+	s.logf("machine %s is lost for good", id)
+	old.die()
+}
--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -17,12 +17,13 @@
 )
 
 var cases = map[string]func(s *site, trouble bool) int{
-	"lost-upkeep-answer": lostUpkeepAnswer,
-	"removed-route":      removedRoute,
-	"late-order":         lateOrder,
-	"hopeless-job":       hopelessJob,
-	"overtaken-pace":     overtakenPace,
-	"stopping-run":       stoppingRun,
+	"lost-upkeep-answer":  lostUpkeepAnswer,
+	"removed-route":       removedRoute,
+	"late-order":          lateOrder,
+	"lost-allowed-worker": lostAllowedWorker,
+	"hopeless-job":        hopelessJob,
+	"overtaken-pace":      overtakenPace,
+	"stopping-run":        stoppingRun,
 }
 
 func main() {
--- a/review/.stand-2/site.go
+++ b/review/.stand-2/site.go
@@ -42,6 +42,7 @@
 	runs    []runEvent
 	lengths map[string]taskSpec // by job
 
+	allowedOn    string          // machine whose worker the policy allows
 	hopeless     map[string]bool // jobs of which each run fails
 	unguarded    bool            // workers don't check their capacity
 	overCapacity atomic.Int64    // starts that brought a worker over its capacity
@@ -93,6 +94,7 @@
 	}
 	s.storeAddr = serve(s.store)
 	s.fleetAddr = serve(machineService{s})
+	s.policyAddr = serve(&policy{site: s})
 	return s
 }
 
@@ -150,16 +152,23 @@
 }
 
 // route is a queue in the configuration.
-type route struct{ name, host, prefix, service string }
+type route struct {
+	name, host, prefix, service string
+	advice                      bool // a placement policy decides which workers may run its steps
+}
 
 func (s *site) configure(services []string, routes ...route) {
 	s.version += 3
 	var list, pools []map[string]any
 	for _, r := range routes {
-		list = append(list, map[string]any{
+		entry := map[string]any{
 			"name": r.name, "host": r.host, "path-prefix": r.prefix, "kind": "non_idempotent", "timeout-ms": 3000, "target-latency-ms": 600,
 			"priority": 0, "service": r.service, "max-attempts": 4, "stretch": 1.6,
-		})
+		}
+		if r.advice {
+			entry["advice"] = map[string]any{"decide-ms": decideTime.Milliseconds(), "each-ms": eachTime.Milliseconds(), "valid-ms": ticketTime.Milliseconds()}
+		}
+		list = append(list, entry)
 	}
 	for _, p := range services {
 		pools = append(pools, map[string]any{"name": p, "preconditions": !s.unguarded, "standby": s.standby[p]})
@@ -218,10 +227,6 @@
 	control, _ := freeAddr()
 	_, port := freeAddr()
 	n.storeProxy, n.fleetProxy = newProxy(s.storeAddr), newProxy(s.fleetAddr)
-	advice := ""
-	if s.policyAddr != "" {
-		advice = fmt.Sprintf("advice = %q\n", s.policyAddr)
-	}
 	text := fmt.Sprintf(`node = %q
 role = "node"
 machine-class = "front"
@@ -238,7 +243,8 @@
 heartbeat-ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 control-mode = "call"
-%s[zones]
+advice = %q
+[zones]
 z-a = "z"
 [listen]
 front = %q
@@ -305,7 +311,7 @@
 per-s = 64.0
 duties = []
 duty-per-s = 64.0
-`, name, port, port, advice, n.front, n.ready, control, n.storeProxy.addr, n.fleetProxy.addr)
+`, name, port, port, s.policyAddr, n.front, n.ready, control, n.storeProxy.addr, n.fleetProxy.addr)
 	n.settings = filepath.Join(s.tempDir, name+".toml")
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		panic(err)
