--- a/review/.stand-2/main.go
+++ b/review/.stand-2/main.go
@@ -21,6 +21,7 @@
 	"removed-route":       removedRoute,
 	"late-order":          lateOrder,
 	"lost-allowed-worker": lostAllowedWorker,
+	"two-owners":          twoOwners,
 	"hopeless-job":        hopelessJob,
 	"overtaken-pace":      overtakenPace,
 	"stopping-run":        stoppingRun,
--- a/review/.stand-2/proxy.go
+++ b/review/.stand-2/proxy.go
@@ -22,6 +22,9 @@
 	onRequest func(data []byte) (cut bool)
 	// delay returns how much later than usual a packet of a client arrives.
 	delay func(data []byte) time.Duration
+	// lost reports whether the path of a request is cut: neither it nor anything later on
+	// its connection arrives.
+	lost func(data []byte) bool
 }
 
 func newProxy(target string) *proxy {
@@ -81,6 +84,10 @@
 			if from == c && n > 0 && p.onRequest != nil && p.onRequest(buf[:n]) {
 				p.setCut(true)
 			}
+			if from == c && n > 0 && p.lost != nil && p.lost(buf[:n]) {
+				_, _ = io.Copy(io.Discard, c)
+				break
+			}
 			if from == c && n > 0 && p.delay != nil {
 				time.Sleep(p.delay(buf[:n]))
 			}
--- a/review/.stand-2/site.go
+++ b/review/.stand-2/site.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -48,6 +47,11 @@
 	overCapacity atomic.Int64    // starts that brought a worker over its capacity
 	onStop       func()          // called with the first order to stop a run
 
+	onHold     func(w *worker, token uint64) // called with each hold; the worker is locked
+	twice      atomic.Int64                  // starts of a task that runs at another worker
+	aliveMu    sync.Mutex
+	alive      map[string]map[string]bool // by task: workers at which it runs
+	lostPacket func(machine string, data []byte) bool
 	slowPacket func(data []byte) time.Duration // delay of a packet to a worker; nil: workers have no proxy
 	tail       func(fillPace int) int          // tail in ms of a serving task beside tasks that fill
 	fillStep   int                             // number of the step whose tasks fill
@@ -90,7 +94,7 @@
 	}
 	s := &site{
 		store: newStore(), binary: binary, tempDir: dir, begun: time.Now(), log: log,
-		machines: map[string]*machine{}, standby: map[string]bool{}, waves: map[int]wave{}, lengths: map[string]taskSpec{},
+		machines: map[string]*machine{}, standby: map[string]bool{}, waves: map[int]wave{}, alive: map[string]map[string]bool{}, lengths: map[string]taskSpec{},
 	}
 	s.storeAddr = serve(s.store)
 	s.fleetAddr = serve(machineService{s})
@@ -122,6 +126,27 @@
 	return append([]runEvent(nil), s.runs...)
 }
 
+// checkTwice checks the first part of the rule TWICE when a run starts.
+func (s *site) checkTwice(w *worker, task string, attempt int) {
+	s.aliveMu.Lock()
+	defer s.aliveMu.Unlock()
+	for other := range s.alive[task] {
+		s.logf("worker %s: %s attempt %d starts while the task runs at %s", w.id, task, attempt, other)
+		s.twice.Add(1)
+	}
+	if s.alive[task] == nil {
+		s.alive[task] = map[string]bool{}
+	}
+	s.alive[task][w.id] = true
+}
+
+// runEnded records that a task no longer runs at a worker.
+func (s *site) runEnded(w *worker, task string) {
+	s.aliveMu.Lock()
+	defer s.aliveMu.Unlock()
+	delete(s.alive[task], w.id)
+}
+
 // starts returns the number of runs that were started of the job's tasks.
 func (s *site) starts(job string) int {
 	n := 0
@@ -205,11 +230,21 @@
 	exited     chan struct{}
 }
 
-// freeAddr returns an address with a free port below the range from which the system
-// takes ports for connections.
+// Ports of the nodes: below the range from which the system takes ports for connections,
+// and apart from those of other runs at the same time.
+const (
+	firstPort    = 12000
+	portsPerRun  = 100
+	runsWithPort = 190
+)
+
+var portsTaken int
+
+// freeAddr returns an address with a free port.
 func freeAddr() (string, int) {
 	for {
-		port := 12000 + rand.IntN(18000)
+		port := firstPort + os.Getpid()%runsWithPort*portsPerRun + portsTaken%portsPerRun
+		portsTaken++
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			_ = l.Close()
--- a/review/.stand-2/worker.go
+++ b/review/.stand-2/worker.go
@@ -58,7 +58,8 @@
 	began      time.Time
 	length     time.Duration // 0: lasts
 	stopAt     time.Time
-	pace       int // percent
+	pace       int  // percent
+	failing    bool // fails now
 }
 
 func (s *site) newWorker(machine, service string) *worker {
@@ -72,9 +73,12 @@
 		panic(err)
 	}
 	w.addr = l.Addr().String()
-	if s.slowPacket != nil {
+	if s.slowPacket != nil || s.lostPacket != nil {
 		p := newProxy(w.addr)
 		p.delay = s.slowPacket
+		if s.lostPacket != nil {
+			p.lost = func(data []byte) bool { return s.lostPacket(machine, data) }
+		}
 		w.addr = p.addr
 	}
 	w.server = &http.Server{Handler: w}
@@ -117,6 +121,7 @@
 	w.mu.Lock()
 	w.dead = true
 	for _, r := range w.runs {
+		w.site.runEnded(w, r.task)
 		w.site.record("worker %s of machine %s ends while it runs %s attempt %d", w.id, w.machine, r.task, r.attempt)
 	}
 	w.runs = nil
@@ -136,6 +141,8 @@
 			over, how = append(over, r), append(how, "stopped")
 		case clock > w.leaseEnd:
 			over, how = append(over, r), append(how, "lapsed")
+		case r.failing:
+			over, how = append(over, r), append(how, "failed")
 		case r.length > 0 && now.Sub(r.began) >= r.length:
 			end := "done"
 			if job, _, _, _ := jobOf(r.task); w.site.hopeless[job] {
@@ -151,6 +158,7 @@
 		w.lastEnd++
 		w.ended = append(w.ended, []any{w.lastEnd, r.task, r.attempt, how[i], ""})
 		w.refuseTo[r.task] = max(w.refuseTo[r.task], r.attempt)
+		w.site.runEnded(w, r.task)
 		w.site.recordRun(runEvent{kind: how[i], task: r.task, attempt: r.attempt, worker: w.id})
 	}
 	if len(over) > 0 {
@@ -250,6 +258,7 @@
 		w.site.overCapacity.Add(1)
 	}
 	w.runs = append(w.runs, &run{task: o.Task, attempt: o.Attempt, checkpoint: o.Checkpoint, need: need, began: time.Now(), length: length, pace: 100})
+	w.site.checkTwice(w, o.Task, o.Attempt)
 	w.site.recordRun(runEvent{kind: "start", task: o.Task, attempt: o.Attempt, worker: w.id, spec: o.Spec})
 	w.answer(rw, http.StatusOK, map[string]any{})
 }
@@ -304,6 +313,9 @@
 }
 
 func (w *worker) hold(rw http.ResponseWriter, r *http.Request, o order) {
+	if w.site.onHold != nil {
+		w.site.onHold(w, o.Fence)
+	}
 	w.extend(o.Deadline)
 	var left [][]any
 	for _, e := range w.ended {
@@ -349,3 +361,15 @@
 	index, _ = strconv.Atoi(p[3])
 	return p[0], occurrence, step, index
 }
+
+// failOne makes one run of the worker fail after the given time.
+func (w *worker) failOne(after time.Duration) {
+	time.AfterFunc(after, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if len(w.runs) > 0 {
+			w.runs[0].failing = true
+			w.endRuns()
+		}
+	})
+}
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/stand ] && [ -x target/carobwharf ] || { echo "build first: the deploy file's build and review/build-2.sh"; exit 2; }
-exec timeout -k 5 110 target/review-2/stand -case removed-route -dir review/7 -node target/carobwharf
+exec timeout -k 5 110 target/review-2/stand -case lost-allowed-worker -dir review/7 -node target/carobwharf
