--- a/review/.stand-2/case_owners.go
+++ b/review/.stand-2/case_owners.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,22 +15,26 @@
 // owner's hold waits at the worker for up to 400 ms.
 const failDelay = 15 * time.Millisecond
 
+// ownerRounds is how often the two owners are tried in a run, until the rule is broken.
+const ownerRounds = 3
+
 // twoOwners: tasks that last run at one worker. The node that owns the pool is cut off from
 // the store, and one other worker has lost the path to the node that takes the pool over.
 // One task fails by its own fault shortly after the takeover.
 func twoOwners(s *site, trouble bool) int {
 	const id, tasks = "00000000000000a1", 8
 	var cutFrom atomic.Uint64 // least token of the node that doesn't reach the worker; 0: no cut
-	var idle atomic.Value     // machine of the worker without runs
-	idle.Store("")
+	var failed1 atomic.Bool   // a task has failed in this round
+	var full, cut atomic.Value
+	full.Store("") // machine of the worker with the most runs
+	cut.Store("")  // machine of the worker that loses a path
 	s.lostPacket = func(machine string, data []byte) bool {
 		from := cutFrom.Load()
-		return from > 0 && machine == idle.Load() && tokenOf(data) >= from
+		return from > 0 && machine == cut.Load() && tokenOf(data) >= from
 	}
-	var once sync.Once
 	s.onHold = func(w *worker, token uint64) {
-		if from := cutFrom.Load(); from > 0 && token >= from && len(w.runs) > 0 {
-			once.Do(func() { w.failOne(failDelay) })
+		if from := cutFrom.Load(); from > 0 && token >= from && w.machine == full.Load() && !failed1.Swap(true) {
+			w.failOne(failDelay)
 		}
 	}
 	n := s.startSite(5, 4, queueA)
@@ -41,33 +46,36 @@
 			return failed
 		}
 	}
-	time.Sleep(4*time.Second + time.Duration(rand.Int64N(int64(time.Second))))
-	idle.Store(s.idleMachine())
-	holder, token := s.poolOwner("pool-a")
-	if trouble {
+	for range ownerRounds {
+		time.Sleep(4*time.Second + time.Duration(rand.Int64N(int64(time.Second))))
+		byRuns := s.machinesByRuns()
+		full.Store(byRuns[0])
+		cut.Store(byRuns[1])
+		failed1.Store(false)
+		if !trouble {
+			s.mu.Lock()
+			s.machines[byRuns[0]].worker.failOne(failDelay)
+			s.mu.Unlock()
+			time.Sleep(13 * time.Second)
+			continue
+		}
+		holder, token := s.poolOwner("pool-a")
+		s.logf("%s, which owns the pool with token %d, is cut off from the store; the node that takes over and the worker of %s lose their path", holder, token, byRuns[1])
 		cutFrom.Store(token + 1)
 		for _, v := range n {
-			if v.name == holder {
-				v.storeProxy.setCut(true)
-			}
-		}
-		s.logf("%s, which owns the pool with token %d, is cut off from the store; the other node and the worker of %s lose their path", holder, token, idle.Load())
-	} else {
-		s.mu.Lock()
-		for _, m := range s.machines {
-			m.worker.failOne(failDelay) // one of them has runs
+			v.storeProxy.setCut(v.name == holder)
 		}
-		s.mu.Unlock()
-	}
-	time.Sleep(5 * time.Second)
-	if trouble {
+		time.Sleep(5 * time.Second)
 		for _, v := range n {
 			v.storeProxy.setCut(false)
 		}
 		cutFrom.Store(0)
 		s.logf("both cuts end")
+		time.Sleep(8 * time.Second)
+		if s.twice.Load() > 0 {
+			break
+		}
 	}
-	time.Sleep(8 * time.Second)
 	s.logf("starts of a task that ran at another worker: %d", s.twice.Load())
 	if s.starts(id) < tasks+1 {
 		return failed
@@ -78,23 +86,27 @@
 	return held
 }
 
-// idleMachine returns the machine of the first worker without runs, by the workers' ids.
-func (s *site) idleMachine() string {
+// machinesByRuns returns the machines, those whose workers have the most runs first, and
+// those with equally many by the workers' ids.
+func (s *site) machinesByRuns() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var first *worker
+	var list []*worker
+	runs := map[*worker]int{}
 	for _, m := range s.machines {
 		m.worker.mu.Lock()
-		n := len(m.worker.runs)
+		runs[m.worker] = len(m.worker.runs)
 		m.worker.mu.Unlock()
-		if n == 0 && (first == nil || m.worker.id < first.id) {
-			first = m.worker
-		}
+		list = append(list, m.worker)
 	}
-	if first == nil {
-		panic("all workers have runs")
+	slices.SortFunc(list, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(runs[b], runs[a]), cmp.Compare(a.id, b.id))
+	})
+	var ids []string
+	for _, w := range list {
+		ids = append(ids, w.machine)
 	}
-	return first.machine
+	return ids
 }
 
 // tokenOf returns the fencing token in a request to a worker, 0 if there is none.
--- a/review/.stand-2/site.go
+++ b/review/.stand-2/site.go
@@ -230,21 +230,27 @@
 	exited     chan struct{}
 }
 
-// Ports of the nodes: below the range from which the system takes ports for connections,
-// and apart from those of other runs at the same time.
+// Ports of the nodes: below the range from which the system takes ports for connections.
+// Each run has a range of its own as long as it listens on the range's first port.
 const (
-	firstPort    = 12000
-	portsPerRun  = 100
-	runsWithPort = 190
+	firstPort   = 12000
+	portsPerRun = 100
+	portRanges  = 190
 )
 
-var portsTaken int
+var (
+	portRange  net.Listener
+	portsTaken int
+)
 
 // freeAddr returns an address with a free port.
 func freeAddr() (string, int) {
+	for slot := os.Getpid(); portRange == nil; slot++ {
+		portRange, _ = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+slot%portRanges*portsPerRun))
+	}
 	for {
-		port := firstPort + os.Getpid()%runsWithPort*portsPerRun + portsTaken%portsPerRun
 		portsTaken++
+		port := portRange.Addr().(*net.TCPAddr).Port + portsTaken%portsPerRun
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			_ = l.Close()
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/stand ] && [ -x target/carobwharf ] || { echo "build first: the deploy file's build and review/build-2.sh"; exit 2; }
-exec timeout -k 5 110 target/review-2/stand -case two-owners -dir review/6 -node target/carobwharf
+timeout -k 5 110 target/review-2/stand -case two-owners -dir review/6 -node target/carobwharf
+code=$?
+[ "$code" -le 2 ] || code=2 # ended by the time limit
+exit "$code"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # test is built by the deploy file's build.
 set -euo pipefail
 cd "$(dirname "$0")/.stand-2"
-go build -o ../../target/review-2/stand .
+go build -buildvcs=false -o ../../target/review-2/stand .
