engine: start a freed task only after its worker confirms that there is no successor

Cause: a worker checks the token of a hold when the hold arrives and answers it when a run ends, so the answer to a waiting hold doesn't show that the worker has no later owner. The successor restarts tasks that it has adopted without waiting for the workers that it doesn't reach. This holds for each reason of an end but done, for runs in neither list, and for all kinds of task.

Change: in the overrun, a task whose run was reported as over is started only once the same worker has accepted another hold, which is sent at once and doesn't wait. A worker that a successor has reached refuses it; otherwise the successor will find the run among the ends and adopts nothing. Runs given up without a report are kept in the same record, which ends when the lease is valid again.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -196,6 +196,16 @@
 	}
 }
 
+// startsIn returns the starts among actions.
+func startsIn(actions []Action) (starts []Start) {
+	for _, a := range actions {
+		if s, ok := a.(Start); ok {
+			starts = append(starts, s)
+		}
+	}
+	return starts
+}
+
 // advance advances the time in steps of 20 ms.
 func (r *harness) advance(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); {
--- a/engine/job.go
+++ b/engine/job.go
@@ -71,8 +71,8 @@
 	runs            []*run
 	notBefore       time.Time // earliest time of the next start
 	avoidWorker     string    // ID of the worker of the last failed or stalled run
-	lostAfterLease  bool      // its last run was given up without a report of the worker, after the owner's lease had ended
-	runAdopted      bool      // this owner has adopted a run of it, so no unknown run can exist at another worker
+	freed           freedTask // runs that it lost after the owner's lease had ended
+	runAdopted      bool      // this owner has adopted a run of it, so no unknown run can exist at another worker; see overrun.go
 }
 
 // runState is the recorded state of a run.
@@ -290,14 +290,14 @@
 	if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.step.occ.job.dueAt(t.id.Occurrence) > m.wallMs {
 		return false
 	}
-	if t.lostAfterLease && m.leaseEnded {
+	if m.successorMayStart(t) {
 		return false
 	}
 	return t.runAdopted || !t.step.occ.job.recovered || m.takeoverComplete()
 }
 
-// allIdleCanStart reports whether canStart certainly holds for all idle tasks of
-// the step.
+// allIdleCanStart reports whether canStart holds for all idle tasks of the step, apart
+// from those that a successor may start too.
 func (m *Scheduler) allIdleCanStart(now time.Time, s *step) bool {
 	return !now.Before(s.allFrom) && (!s.occ.job.recovered || m.takeoverComplete())
 }
--- a/engine/owners_test.go
+++ b/engine/owners_test.go
@@ -14,8 +14,9 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
-// playOwners plays one day and returns what broke the rule.
-func playOwners(seed uint64, trace func(string, ...any)) []string {
+// newSimWorld returns a pool of five workers that are down and three processes that do
+// not claim it yet.
+func newSimWorld(seed uint64, trace func(string, ...any)) *simWorld {
 	s := &simWorld{rng: rand.New(rand.NewPCG(seed, 1)), jobs: map[string]*simJob{}, runs: map[workload.TaskID][]*simRun{}, doneEnds: map[workload.TaskID][]*simEnd{}}
 	s.trace = func(format string, args ...any) {
 		if trace != nil {
@@ -29,13 +30,33 @@
 		w := &simWorker{world: s, clockRate: 1 - 0.02*s.rng.Float64(), highest: map[workload.TaskID]int{}, cut: map[int]bool{}, registers: s.between(50*time.Millisecond, time.Second)}
 		w.worker = newWorker(string(rune('a' + i))).Worker
 		s.workers = append(s.workers, w)
-		w.restart(0)
 	}
 	for i := range 3 {
-		p := &simProcess{world: s, id: i, up: true, wallSkew: time.Duration(s.rng.IntN(3)) * s.between(-time.Second, time.Second)}
-		s.procs = append(s.procs, p)
+		s.procs = append(s.procs, &simProcess{world: s, id: i, up: true, wallSkew: time.Duration(s.rng.IntN(3)) * s.between(-time.Second, time.Second)})
+	}
+	return s
+}
+
+// playOwners plays one day and returns what broke the rule.
+func playOwners(seed uint64, trace func(string, ...any)) []string {
+	s := newSimWorld(seed, trace)
+	for _, w := range s.workers {
+		w.restart(0)
+	}
+	for _, p := range s.procs {
 		s.after(s.between(0, 50*time.Millisecond), p.claim)
 	}
+	// Both owners are told of an end soon after the later one's first hold, while the
+	// former one's hold waits.
+	s.onFence = func(w *simWorker) {
+		if s.chance(0.3) {
+			s.after(s.between(0, 100*time.Millisecond), func() {
+				if len(w.running) > 0 {
+					w.end(w.running[s.rng.IntN(len(w.running))], EndFailed)
+				}
+			})
+		}
+	}
 	s.planJobs()
 	s.planTroubles()
 	s.runUntil(simEndOfDay)
@@ -68,7 +89,12 @@
 func (s *simWorld) planJobs() {
 	for i := range 14 {
 		id := fmt.Sprintf("j%d", i)
-		s.after(s.between(0, simTrouble), func() { s.submit(id, s.randomJob(id)) })
+		s.after(s.between(0, simTrouble), func() {
+			s.submit(id, s.randomJob(id))
+			if s.chance(0.15) {
+				s.after(s.between(0, 3*time.Second), func() { s.jobs[id].cancelled = true; s.feed() })
+			}
+		})
 	}
 }
 
@@ -78,9 +104,6 @@
 	s.jobIDs = append(s.jobIDs, id)
 	s.trace("job %s: %+v, repeat %+v", id, submission.Steps, submission.Repeat)
 	s.feed()
-	if s.chance(0.15) {
-		s.after(s.between(0, 3*time.Second), func() { s.jobs[id].cancelled = true; s.feed() })
-	}
 }
 
 func (s *simWorld) randomJob(id string) workload.Submission {
--- a/engine/run.go
+++ b/engine/run.go
@@ -41,6 +41,9 @@
 	if t.done || j.state.Ended() {
 		return
 	}
+	if e.Reason != EndDone {
+		m.recordReportedEnd(t, w)
+	}
 	switch e.Reason {
 	case EndDone:
 		m.handleDone(t, w)
@@ -149,7 +152,6 @@
 	if r.task.isIdle() {
 		r.task.step.idleTasks--
 	}
-	r.task.lostAfterLease = false
 	r.task.runs = append(r.task.runs, r)
 	r.task.step.occ.begun = true
 	r.worker.runs = append(r.worker.runs, r)
@@ -193,6 +195,7 @@
 	default:
 		return
 	}
+	m.recordReportedEnd(r.task, w)
 	m.removeRun(now, r)
 }
 
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -69,6 +69,7 @@
 	noMovesBefore   time.Time               // until then no long-running task is moved off a machine to be released
 	paused          bool                    // no task is started
 	leaseEnded      bool                    // the owner's lease is not valid, so there may be a successor
+	overruns        int                     // number of times that the lease has ended
 	superseded      bool                    // a worker has seen the token of a later owner
 	nextWake        time.Time               // time that Wake returns
 	actions         []Action                // actions of the current call of Step
@@ -160,14 +161,6 @@
 	m.paused = paused
 }
 
-// SetLeaseValid tells whether the owner's lease is valid. After its end, a
-// successor may extend the leases of workers that do not answer this owner. The
-// tasks of such a worker are then not started elsewhere.
-func (m *Scheduler) SetLeaseValid(valid bool) {
-	m.needsPlacement = m.needsPlacement || m.leaseEnded && valid
-	m.leaseEnded = !valid
-}
-
 // Wake returns when Step must be called next even if no event arrives, or the
 // zero time if that is not needed.
 func (m *Scheduler) Wake() time.Time { return m.nextWake }
--- a/engine/simworker_test.go
+++ b/engine/simworker_test.go
@@ -51,6 +51,14 @@
 	doneEnds   map[workload.TaskID][]*simEnd
 	repeats    []simRepeat // starts after a run that ended done
 	violations []string
+
+	onStart func(workload.TaskID) // called when a run begins; may be nil
+	onFence func(w *simWorker)    // called when a worker sees the token of a later owner; may be nil
+}
+
+// workerWithMostRuns returns the first of the workers that have the most runs.
+func (s *simWorld) workerWithMostRuns() *simWorker {
+	return slices.MaxFunc(s.workers, func(a, b *simWorker) int { return len(a.running) - len(b.running) })
 }
 
 // simFaults are the chances of faults of single calls.
@@ -59,6 +67,7 @@
 	answerLost float64 // a call is executed and its answer lost
 	late       float64 // a call is executed seconds after its caller gave up
 	page       int     // number of ends in one answer to a hold
+	noFailures bool    // runs do not fail by themselves
 }
 
 type simJob struct {
@@ -184,6 +193,9 @@
 	if token < w.fence {
 		return false
 	}
+	if token > w.fence && w.fence > 0 && w.world.onFence != nil {
+		w.world.onFence(w)
+	}
 	w.fence = token
 	return true
 }
@@ -240,6 +252,9 @@
 	}
 	w.running = append(w.running, r)
 	s.runs[a.Task] = append(s.runs[a.Task], r)
+	if s.onStart != nil {
+		s.onStart(a.Task)
+	}
 	s.begin(r)
 	return OK
 }
@@ -256,7 +271,7 @@
 	}
 	d := time.Duration(float64(spec.Estimate) * (0.3 + 1.4*s.rng.Float64()))
 	switch {
-	case s.chance(0.05):
+	case !s.faults.noFailures && s.chance(0.05):
 		s.after(d/2, finish(EndFailed))
 	case spec.LongRunning:
 	case spec.Gang:
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -85,9 +85,10 @@
 	unknownRuns      []RunReport // reported runs of unknown jobs
 	lastEndStored    int         // ends up to this number are in the store and can be acknowledged
 	unstoredEnds     []unstoredEnd
-	lastEndAcked     int  // ends up to this number were acknowledged by an answered hold
-	ackSent          int  // acknowledgement in the last hold
-	holdPending      bool // a hold has no answer yet
+	unconfirmedEnds  []*task // tasks in whose freedTask it is
+	lastEndAcked     int     // ends up to this number were acknowledged by an answered hold
+	ackSent          int     // acknowledgement in the last hold
+	holdPending      bool    // a hold has no answer yet
 	nextHold         time.Time
 	lastHoldSent     time.Time // when the last answered hold was sent
 	leavingSince     time.Time // since when it is draining or to be released; zero: it is not
@@ -273,6 +274,9 @@
 // needsPromptAnswer reports whether the state of a run at the worker can be
 // resolved only by a hold that is answered at once.
 func (m *Scheduler) needsPromptAnswer(w *worker) bool {
+	if len(w.unconfirmedEnds) > 0 {
+		return true
+	}
 	for _, r := range w.runs {
 		// A run that was stopped before its start arrived never reports an end.
 		if r.state == unconfirmed || r.state == stopping && r.confirmedAt.IsZero() && !r.stopAcked.IsZero() {
@@ -358,9 +362,12 @@
 	if first {
 		delete(m.formerWorkers, w.ID)
 	}
+	m.confirmEnds(w)
 	m.handleEnds(now, w, e.Report.Ended)
 	m.reconcileRuns(now, w, e)
 	switch {
+	case len(w.unconfirmedEnds) > 0:
+		w.nextHold = now
 	case first || m.needsPromptAnswer(w):
 		w.nextHold = now.Add(holdGap)
 	case w.hasRuns() || w.lastEndProcessed > w.lastEndAcked:
@@ -406,7 +413,7 @@
 // giveUpRun removes a run that can't exist any more according to this owner's
 // knowledge, without a report of the worker.
 func (m *Scheduler) giveUpRun(now time.Time, r *run) {
-	r.task.lostAfterLease = m.leaseEnded
+	m.recordLostRun(r.task)
 	m.removeRun(now, r)
 }
 
