engine: keep a worker free only for a step that lacks nothing but room there

Cause: for each long-running step that found no worker, a pass reserves one that has room beside its long-running tasks, without asking whether the step may run there. The same happens while the policy gives no answer or no new ticket. A worker in quarantine was reserved too, often as the emptiest, and then finite tasks took the room that the step could have used elsewhere.

Change: a worker is reserved only if the step lacks nothing but room there: it is not in quarantine, and a step with a policy has a ticket that is valid or has expired within a second. Tickets of full workers are replaced while the policy answers, so small tasks still can't keep a long-running one out.

TestFiniteTasksMakeRoomForLongRunningTask, for the other side, passes before and after.

--- a/engine/advice.go
+++ b/engine/advice.go
@@ -29,6 +29,18 @@
 	return false
 }
 
+// ticketRefreshTime is the time in which a ticket that has expired is replaced as long as
+// the placement policy answers.
+const ticketRefreshTime = time.Second
+
+// hasRecentTicket reports whether the placement policy allows the step at the worker, by
+// a ticket that is valid or may be about to be replaced. Which workers the policy allows
+// doesn't change.
+func (s *step) hasRecentTicket(now time.Time, w *worker) bool {
+	tk := s.tickets[w.ID]
+	return tk.value != "" && now.Before(tk.expires.Add(ticketRefreshTime))
+}
+
 // ticketMargin is subtracted from a ticket's validity so that the start arrives
 // before the ticket expires.
 const ticketMargin = 200 * time.Millisecond
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -25,7 +25,8 @@
 	superseded bool
 	search     []string // jobs of the last search
 
-	holdsSearches bool // the test itself answers searches
+	holdsSearches bool                     // the test itself answers searches
+	policy        func(worker string) bool // whether the placement policy allows a worker; nil: it does not answer
 }
 
 // fakeWorker carries out and answers all orders unless its fields say
@@ -49,6 +50,9 @@
 
 const testLease = 6 * time.Second
 
+// testTicketTime is how long a ticket of the placement policy is valid.
+const testTicketTime = 3 * time.Second
+
 func testConfig(token uint64) Config {
 	return Config{
 		Pool: "p", Token: token, Lease: testLease, FormerLease: testLease,
@@ -149,6 +153,17 @@
 			return nil
 		}
 		return []Event{JobsSearched{IDs: a.IDs, OK: true}}
+	case Advise:
+		if r.policy == nil {
+			return []Event{AdviceAnswered{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Asked: a.Workers}}
+		}
+		e := AdviceAnswered{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Asked: a.Workers, OK: true, Valid: testTicketTime, Tickets: map[string]string{}}
+		for _, w := range a.Workers {
+			if r.policy(w) {
+				e.Tickets[w] = "ticket"
+			}
+		}
+		return []Event{e}
 	case Decision:
 		r.decisions = append(r.decisions, a)
 	case Superseded:
--- a/engine/place.go
+++ b/engine/place.go
@@ -83,7 +83,7 @@
 		m.addShortfall(now, c)
 		m.unplacedSteps++
 		if c.urgency == serving {
-			m.reserveWorker(s)
+			m.reserveWorker(now, s)
 		}
 		if unconstrained {
 			unplaceable = append(unplaceable, s.spec.Size)
@@ -92,43 +92,6 @@
 	clear(m.candidateBuffer) // the buffer must not keep jobs that have ended
 }
 
-// reserveWorker keeps one worker free of further finite tasks until a
-// long-running task fits there. Otherwise small finite tasks would take all
-// capacity as soon as it becomes free.
-func (m *Scheduler) reserveWorker(s *step) {
-	var best *worker
-	for _, w := range m.sortedWorkers {
-		if m.reserved[w] || !m.hasRoomForLongRunning(s, w) {
-			continue
-		}
-		if best == nil || w.free().MilliCores > best.free().MilliCores {
-			best = w
-		}
-	}
-	if best != nil {
-		m.reserved[best] = true
-	}
-}
-
-// hasRoomForLongRunning reports whether a worker could take a long-running
-// task beside the long-running tasks that it already has, if its finite tasks
-// ended.
-func (m *Scheduler) hasRoomForLongRunning(s *step, w *worker) bool {
-	if !w.registered || !w.synced || !w.inLoadRow || w.gone || w.suspect || w.Draining || m.toRelease[w.Machine] {
-		return false
-	}
-	if s.spec.MaxPerWorker > 0 && s.runsPerWorker[w.ID] >= s.spec.MaxPerWorker || s.spec.Label != "" && !w.hasLabel(s.spec.Label) {
-		return false
-	}
-	room := w.Capacity
-	for _, r := range w.runs {
-		if r.task.step.spec.LongRunning {
-			room = room.Minus(r.task.step.demand())
-		}
-	}
-	return s.demand().Fits(room)
-}
-
 // placementGapPerStep is the minimum time between two placement passes per
 // waiting step. A pass takes about half a microsecond per step, and long queues
 // must not use up the CPU of a small VM.
