engine: gangs don't take the room that is kept free for long-running tasks

Cause: a worker is kept free of finite tasks until a waiting long-running step fits there, but gangs were placed without regard to it. A stream of small gangs took the room as soon as it became free, and the long-running task never started.

Change: gangs and single tasks share one check of the workers that they may take.

--- a/engine/place.go
+++ b/engine/place.go
@@ -240,7 +240,7 @@
 	var bestScore int
 	needs := s.demand()
 	for _, w := range m.sortedWorkers {
-		if !m.usable(now, w) || !m.stepAllows(now, s, w) || m.reserved[w] && !s.spec.LongRunning {
+		if !m.mayTake(now, s, w) {
 			continue
 		}
 		free := w.free()
@@ -255,6 +255,11 @@
 	return best
 }
 
+// mayTake reports whether the worker, if it has room, may take a task of the step now.
+func (m *Scheduler) mayTake(now time.Time, s *step, w *worker) bool {
+	return m.usable(now, w) && m.stepAllows(now, s, w) && (s.spec.LongRunning || !m.reserved[w])
+}
+
 // stepAllows reports whether the step's constraints allow one more task at the
 // worker.
 func (m *Scheduler) stepAllows(now time.Time, s *step, w *worker) bool {
@@ -382,7 +387,7 @@
 	racks := map[string][]*worker{}
 	var names []string
 	for _, w := range m.sortedWorkers {
-		if !m.usable(now, w) || !m.stepAllows(now, s, w) {
+		if !m.mayTake(now, s, w) {
 			continue
 		}
 		all = append(all, w)
--- a/engine/reserve_test.go
+++ b/engine/reserve_test.go
@@ -87,17 +87,17 @@
 		r.workers["a"].endRun(run.Task, run.Attempt, EndDone)
 	}
 	r.step(longRunningJob("long", testQueue, 8000))
-	requireRoomIsMade(t, r, "b")
+	requireRoomIsMade(t, r, "b", simpleStep(2))
 }
 
-// requireRoomIsMade requires that a waiting long-running task is started although small
-// finite tasks, which end one by one at the worker, wait for its room too.
-func requireRoomIsMade(t *testing.T, r *harness, worker string) {
+// requireRoomIsMade requires that a waiting long-running task is started although the
+// finite tasks of small steps, which end one by one at the worker, wait for its room too.
+func requireRoomIsMade(t *testing.T, r *harness, worker string, small workload.Step) {
 	t.Helper()
 	w := r.workers[worker]
 	isLongRunning := func(s Start) bool { return s.Task.Job == "long" }
 	for i := range 60 {
-		r.step(testJob(fmt.Sprintf("small%d", i), simpleStep(2)))
+		r.step(testJob(fmt.Sprintf("small%d", i), small))
 		for _, run := range w.running {
 			if run.Task.Job != "long" {
 				w.endRun(run.Task, run.Attempt, EndDone)
@@ -125,7 +125,19 @@
 			r.step(testJob("full", simpleStep(32)))
 			require.Len(t, r.starts, 32)
 			r.step(longRunningJob("long", queue, 8000))
-			requireRoomIsMade(t, r, "a")
+			requireRoomIsMade(t, r, "a", simpleStep(2))
 		})
 	}
 }
+
+// Guards against gangs of finite tasks that take the room of a worker which is kept free
+// for a long-running task.
+func TestGangsMakeRoomForLongRunningTask(t *testing.T) {
+	gang := simpleStep(1)
+	gang.Gang = true
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("full", simpleStep(16)))
+	require.Len(t, r.starts, 16)
+	r.step(longRunningJob("long", testQueue, 8000))
+	requireRoomIsMade(t, r, "a", gang)
+}
