--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -211,6 +211,16 @@
 	}
 }
 
+// countDecisions returns the number of decisions of one kind so far.
+func (r *harness) countDecisions(what string) (n int) {
+	for _, d := range r.decisions {
+		if d.What == what {
+			n++
+		}
+	}
+	return n
+}
+
 // startsIn returns the starts among actions.
 func startsIn(actions []Action) (starts []Start) {
 	for _, a := range actions {
--- a/engine/job.go
+++ b/engine/job.go
@@ -51,6 +51,8 @@
 	runsPerWorker map[string]int    // by worker ID
 	tickets       map[string]ticket // by worker ID
 	advicePending bool              // a call to the placement policy is in progress
+
+	reservationLogged bool // a log line says that a worker is kept free for it; since its last start
 }
 
 // ticket is the answer of the placement policy for a step at a worker. An empty
--- a/engine/overrun.go
+++ b/engine/overrun.go
@@ -61,6 +61,7 @@
 	if !slices.Contains(freed.reportedBy, w) {
 		freed.reportedBy = append(freed.reportedBy, w)
 		w.unconfirmedEnds = append(w.unconfirmedEnds, t)
+		m.logDecision("end-unconfirmed", "the lease has ended, so the worker has to answer another hold first", t, w, 0)
 	}
 }
 
--- a/engine/place.go
+++ b/engine/place.go
@@ -201,6 +201,7 @@
 			return placed, false
 		}
 		m.startRun(now, t, w, 0)
+		s.reservationLogged = false
 		placed++
 	}
 	return placed, true
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/carobwharf/carobwharf/workload"
+)
 
 // reserveWorker keeps one worker free of further finite tasks until a
 // long-running task fits there. Otherwise small finite tasks would take all
@@ -15,8 +19,14 @@
 			best = w
 		}
 	}
-	if best != nil {
-		m.reserved[best] = true
+	if best == nil {
+		return
+	}
+	m.reserved[best] = true
+	if !s.reservationLogged {
+		s.reservationLogged = true
+		job := s.occ.job.submission.ID
+		m.emit(Decision{What: "worker-reserved", Job: job, Task: workload.StepName(job, s.occ.number, s.index), Worker: best.ID, Why: "a long-running task waits for room"})
 	}
 }
 
--- a/engine/reserve_test.go
+++ b/engine/reserve_test.go
@@ -53,6 +53,7 @@
 		r.step(testJob("j1", simpleStep(1)), testJob("j2", simpleStep(20)))
 		r.advance(time.Second)
 		require.Len(t, r.starts, 21, name)
+		require.Zero(t, r.countDecisions("worker-reserved"), name)
 	}
 }
 
@@ -126,6 +127,7 @@
 			require.Len(t, r.starts, 32)
 			r.step(longRunningJob("long", queue, 8000))
 			requireRoomIsMade(t, r, "a", simpleStep(2))
+			require.Equal(t, 1, r.countDecisions("worker-reserved"), "one line for the whole wait")
 		})
 	}
 }
