engine: keep the record of freed tasks only where there is one

A task has a pointer to the record in place of the record itself, since memory is priced and few tasks ever have one. The tests of unconfirmed ends share their set-up and answer the hold that would confirm the end; without that, taking the check of a worker's life back was not noticed (trial: it is now, by TestRestartedWorkerConfirmsNoEnd).

--- a/engine/job.go
+++ b/engine/job.go
@@ -40,19 +40,18 @@
 
 // step is the state of one step of an occurrence.
 type step struct {
-	occ           *occurrence
-	index         int
-	spec          *workload.Step
-	tasks         []*task
-	openTasks     int               // tasks that are not done
-	idleTasks     int               // tasks that are not done and have no run
-	allFrom       time.Time         // latest notBefore of its tasks
-	criticalPath  time.Duration     // longest chain of estimates that starts with this step
-	runsPerWorker map[string]int    // by worker ID
-	tickets       map[string]ticket // by worker ID
-	advicePending bool              // a call to the placement policy is in progress
-
-	reservationLogged bool // a log line says that a worker is kept free for it; since its last start
+	occ               *occurrence
+	index             int
+	spec              *workload.Step
+	tasks             []*task
+	openTasks         int               // tasks that are not done
+	idleTasks         int               // tasks that are not done and have no run
+	allFrom           time.Time         // latest notBefore of its tasks
+	criticalPath      time.Duration     // longest chain of estimates that starts with this step
+	runsPerWorker     map[string]int    // by worker ID
+	tickets           map[string]ticket // by worker ID
+	advicePending     bool              // a call to the placement policy is in progress
+	reservationLogged bool              // since its last start, a log line says that a worker is kept free for it
 }
 
 // ticket is the answer of the placement policy for a step at a worker. An empty
@@ -71,10 +70,10 @@
 	lastAttempt     int    // greatest attempt number so far
 	checkpoint      string // newest checkpoint of any run
 	runs            []*run
-	notBefore       time.Time // earliest time of the next start
-	avoidWorker     string    // ID of the worker of the last failed or stalled run
-	freed           freedTask // runs that it lost after the owner's lease had ended
-	runAdopted      bool      // this owner has adopted a run of it, so no unknown run can exist at another worker; see overrun.go
+	notBefore       time.Time  // earliest time of the next start
+	avoidWorker     string     // ID of the worker of the last failed or stalled run
+	freed           *freedTask // runs that it lost after the owner's lease had ended; nil: none
+	runAdopted      bool       // this owner has adopted a run of it, so no unknown run can exist at another worker; see overrun.go
 }
 
 // runState is the recorded state of a run.
--- a/engine/overrun.go
+++ b/engine/overrun.go
@@ -38,10 +38,10 @@
 
 // freedInOverrun returns the record of the runs that the task has lost in this overrun.
 func (m *Scheduler) freedInOverrun(t *task) *freedTask {
-	if t.freed.overrun != m.overruns {
-		t.freed = freedTask{overrun: m.overruns}
+	if t.freed == nil || t.freed.overrun != m.overruns {
+		t.freed = &freedTask{overrun: m.overruns}
 	}
-	return &t.freed
+	return t.freed
 }
 
 // recordLostRun records that a run of the task was given up without a report of its
@@ -78,5 +78,8 @@
 // successorMayStart reports whether a successor may have adopted a run of the task, and
 // so may start it too.
 func (m *Scheduler) successorMayStart(t *task) bool {
-	return m.leaseEnded && t.freed.overrun == m.overruns && (t.freed.lost || len(t.freed.reportedBy) > 0)
+	if !m.leaseEnded || t.freed == nil || t.freed.overrun != m.overruns {
+		return false
+	}
+	return t.freed.lost || len(t.freed.reportedBy) > 0
 }
--- a/engine/overrun_test.go
+++ b/engine/overrun_test.go
@@ -150,6 +150,9 @@
 		for i := range ends {
 			s.after(down+firstEnd+time.Duration(i)*100*time.Millisecond, func() {
 				w := s.workerWithMostRuns()
+				if len(w.running) == 0 {
+					return
+				}
 				r := w.running[s.rng.IntN(len(w.running))]
 				ended[r.task] = s.now
 				w.end(r, EndStopped) // failures would put the workers in quarantine
@@ -159,6 +162,7 @@
 		require.Empty(t, s.violations, "seed %d", seed)
 		require.Empty(t, ended, "seed %d: each task has been started again", seed)
 	}
+	require.NotZero(t, restarts)
 	t.Logf("%d tasks were started again after %s on average, %s at most", restarts, sum/time.Duration(restarts), longest)
 	// A hold that is due, its answer, a hold that confirms the end and its answer, a start.
 	const usual = holdGap + 5*holdGapPerBusyWorker + 5*8*time.Millisecond
@@ -189,16 +193,29 @@
 	}
 }
 
-// Guards against a task that stays idle: its worker fell silent after it had reported the
-// end of a run, and then the lease was renewed.
-func TestOwnerRestartsUnconfirmedTaskOnceItsLeaseIsValid(t *testing.T) {
+// newHarnessWithUnconfirmedEnd returns a harness whose lease has ended, and a worker that
+// has reported a run as over. change is applied to the worker before it gets the hold that
+// would confirm this.
+func newHarnessWithUnconfirmedEnd(t *testing.T, change func(r *harness, w *fakeWorker)) *harness {
 	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
 	r.step(testJob("j1", simpleStep(1)))
 	r.m.SetLeaseValid(false)
 	a := r.workers[r.starts[0].Incarnation.ID]
 	a.endRun(r.starts[0].Task, 1, EndFailed)
-	r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
-	a.silent = true
+	actions := r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
+	change(r, a)
+	var answers []Event
+	for _, action := range actions {
+		answers = append(answers, r.answer(action)...)
+	}
+	r.step(answers...)
+	return r
+}
+
+// Guards against a task that stays idle: its worker fell silent after it had reported the
+// end of a run, and then the lease was renewed.
+func TestOwnerRestartsUnconfirmedTaskOnceItsLeaseIsValid(t *testing.T) {
+	r := newHarnessWithUnconfirmedEnd(t, func(_ *harness, w *fakeWorker) { w.silent = true })
 	r.advance(3 * time.Second)
 	require.Len(t, r.starts, 1)
 	r.m.SetLeaseValid(true)
@@ -209,14 +226,12 @@
 // Guards against an owner without a valid lease that takes a restarted worker, which has
 // forgotten the token of a successor, for one that no successor has reached.
 func TestRestartedWorkerConfirmsNoEnd(t *testing.T) {
-	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
-	r.step(testJob("j1", simpleStep(1)))
-	r.m.SetLeaseValid(false)
-	a := r.workers[r.starts[0].Incarnation.ID]
-	a.endRun(r.starts[0].Task, 1, EndFailed)
-	r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
-	a.Born++
-	a.lastEnd, a.ended, a.startedAt = 0, nil, r.now
+	r := newHarnessWithUnconfirmedEnd(t, func(r *harness, w *fakeWorker) {
+		w.Born++
+		w.lastEnd, w.ended, w.startedAt = 0, nil, r.now
+	})
+	r.advance(3 * time.Second)
+	require.Len(t, r.starts, 1)
 	r.step(r.registrations())
 	r.advance(3 * time.Second)
 	require.Len(t, r.starts, 1)
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -85,7 +85,7 @@
 	unknownRuns      []RunReport // reported runs of unknown jobs
 	lastEndStored    int         // ends up to this number are in the store and can be acknowledged
 	unstoredEnds     []unstoredEnd
-	unconfirmedEnds  []*task // tasks in whose freedTask it is
+	unconfirmedEnds  []*task // tasks of which it reported that a run is over, until it answers a later hold; see overrun.go
 	lastEndAcked     int     // ends up to this number were acknowledged by an answered hold
 	ackSent          int     // acknowledgement in the last hold
 	holdPending      bool    // a hold has no answer yet
