engine: keep runs of unread jobs until all ends of their worker are listed

Cause: a run of a job that the owner has not read is kept from report to report, and each report replaced the former list. A worker lists its ends in pages; a report that is not complete lists neither the run nor its end if that is on a later page. The owner forgot the run, found the job, and started the task again after it had ended done (TWICE).

Change: an incomplete report drops only those runs of unread jobs that it lists.

--- a/engine/run.go
+++ b/engine/run.go
@@ -108,6 +108,7 @@
 // owner has recorded.
 func (m *Scheduler) reconcileRuns(now time.Time, w *worker, e HoldAnswered) {
 	reported := make(map[*run]bool, len(w.runs))
+	formerUnknown := w.unknownRuns
 	w.unknownRuns = nil
 	for _, report := range e.Report.Running {
 		if m.unknownJob(report.Task.Job) {
@@ -119,6 +120,7 @@
 		}
 	}
 	if e.Report.MoreEnds {
+		w.keepUnlisted(formerUnknown, e.Report)
 		return
 	}
 	for _, r := range slices.Clone(w.runs) {
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -284,6 +284,33 @@
 	require.Equal(t, workload.Completed, r.m.ended["j1"])
 }
 
+// A run of a job that the owner had not read ended on a later page of its worker's ends.
+// The next report listed neither the run nor its end, and the task was started again once
+// the job had been found (seed 115423 of TestOwnersRunEachTaskOnce).
+func TestRunOfUnreadJobIsKeptUntilAllEndsAreListed(t *testing.T) {
+	a := newWorker("a")
+	a.pageSize = 2
+	for i := range 3 {
+		a.running = append(a.running, RunReport{Task: workload.TaskID{Job: "j1", Index: i}, Attempt: 1})
+	}
+	r := newHarness(t, 2, []EngagedWorker{{ID: "a", Born: 1}})
+	r.holdsSearches = true
+	a.startedAt = r.now.Add(-time.Minute)
+	r.workers["a"] = a
+	r.step(r.registrations())
+	require.Equal(t, []string{"j1"}, r.search)
+	for i := range 3 {
+		a.endRun(workload.TaskID{Job: "j1", Index: i}, 1, EndDone)
+	}
+	r.advance(time.Second)
+	job := testJob("j1", simpleStep(3))
+	job.Recovered = true
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	r.advance(time.Second)
+	require.Empty(t, r.starts)
+	require.Equal(t, workload.Completed, r.m.ended["j1"])
+}
+
 // Guards against runs of a job that does not exist, which would go on for ever, and
 // against a search that is not repeated after it failed.
 func TestRunsOfAbsentJobAreStopped(t *testing.T) {
--- a/engine/unknown.go
+++ b/engine/unknown.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// keepUnlisted keeps those of the runs of unknown jobs that an incomplete report lists
+// neither as running nor as ended: they may have ended on a later page.
+func (w *worker) keepUnlisted(runs []RunReport, report HoldReport) {
+	for _, r := range runs {
+		isRunning := func(o RunReport) bool { return o.Task == r.Task && o.Attempt == r.Attempt }
+		isEnded := func(o EndReport) bool { return o.Task == r.Task && o.Attempt == r.Attempt }
+		if !slices.ContainsFunc(report.Running, isRunning) && !slices.ContainsFunc(report.Ended, isEnded) {
+			w.unknownRuns = append(w.unknownRuns, r)
+		}
+	}
+}
+
 // lastEndSettled returns the number up to which all ends have been processed.
 func (w *worker) lastEndSettled() int {
 	if len(w.heldEnds) > 0 {
