--- a/engine/overrun.go
+++ b/engine/overrun.go
@@ -10,12 +10,11 @@
 //   - The successor starts a task that was submitted before its term only after all
 //     workers of the former owner have answered it, or after it has adopted a run of the
 //     task and that run has ended.
-//   - The former owner starts a task that had a run when the lease ended only if the
-//     successor cannot have adopted that run. A hold that waits at a worker when the
-//     successor's first one arrives tells the former owner of ends that the successor is
-//     told of too, so one reported end is not enough: the worker must accept a hold that
-//     was sent later. It has then not answered a successor before the end, and lists
-//     the run as ended when it does.
+//   - The former owner starts a task whose run has ended since then only if no successor
+//     can have adopted that run. A report of the end does not show this: the worker checks
+//     the token of a hold when it arrives, and may answer it only after it has answered a
+//     successor. If the worker accepts a further hold, no successor had reached it before
+//     the run ended, and each will find the run among the ends.
 
 // freedTask says which runs a task lost after the owner's lease had ended, of which a
 // successor may know.
