engine: tests share the start of the simulated workers and the search for starts

Change: newSimWorld starts the workers, and the tests call startsIn. All checks are kept; TestStartMayReachRestartedWorker now also requires exactly one start.

Test files only.

--- a/engine/overrun_test.go
+++ b/engine/overrun_test.go
@@ -28,9 +28,6 @@
 	d := &takeoverDay{simWorld: newSimWorld(seed, nil), reason: reason}
 	d.delay = d.between(0, 100*time.Millisecond)
 	d.faults.noFailures = true
-	for _, w := range d.workers {
-		w.restart(0)
-	}
 	d.procs[0].claim()
 	job := testJob("j", simpleStep(4)).Submission
 	job.Queue.MaxAttempts, job.Accepted = 1000, simStart.UnixMilli()
@@ -129,9 +126,6 @@
 	for seed := range uint64(20) {
 		s := newSimWorld(seed, nil)
 		s.faults.noFailures, s.faults.page = true, 500
-		for _, w := range s.workers {
-			w.restart(0)
-		}
 		s.procs[0].claim()
 		finite, longRunning := testJob("finite", simpleStep(8)).Submission, testJob("long", longRunningStep(4, 0)).Submission
 		finite.Queue.MaxAttempts, finite.Steps[0].Estimate = 1000, time.Minute
--- a/engine/owners_test.go
+++ b/engine/owners_test.go
@@ -14,8 +14,8 @@
 	"github.com/carobwharf/carobwharf/workload"
 )
 
-// newSimWorld returns a pool of five workers that are down and three processes that do
-// not claim it yet.
+// newSimWorld returns a pool of five workers that start and three processes that do not
+// claim it yet.
 func newSimWorld(seed uint64, trace func(string, ...any)) *simWorld {
 	s := &simWorld{rng: rand.New(rand.NewPCG(seed, 1)), jobs: map[string]*simJob{}, runs: map[workload.TaskID][]*simRun{}, doneEnds: map[workload.TaskID][]*simEnd{}}
 	s.trace = func(format string, args ...any) {
@@ -30,6 +30,7 @@
 		w := &simWorker{world: s, clockRate: 1 - 0.02*s.rng.Float64(), highest: map[workload.TaskID]int{}, cut: map[int]bool{}, registers: s.between(50*time.Millisecond, time.Second)}
 		w.worker = newWorker(string(rune('a' + i))).Worker
 		s.workers = append(s.workers, w)
+		w.restart(0)
 	}
 	for i := range 3 {
 		s.procs = append(s.procs, &simProcess{world: s, id: i, up: true, wallSkew: time.Duration(s.rng.IntN(3)) * s.between(-time.Second, time.Second)})
@@ -40,9 +41,6 @@
 // playOwners plays one day and returns what broke the rule.
 func playOwners(seed uint64, trace func(string, ...any)) []string {
 	s := newSimWorld(seed, trace)
-	for _, w := range s.workers {
-		w.restart(0)
-	}
 	for _, p := range s.procs {
 		s.after(s.between(0, 50*time.Millisecond), p.claim)
 	}
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -338,27 +338,12 @@
 	r.m.Step(r.now, 0, r.registrations(), testJob("j1", simpleStep(1)))
 	r.m.Step(r.now, 0, r.answerHold(Hold{Target: Target{Incarnation: a.Incarnation}}))
 	require.True(t, r.m.LoadRowUrgent())
-	starts := func() (n int) {
-		for _, action := range r.m.Step(r.now, 0) {
-			if _, ok := action.(Start); ok {
-				n++
-			}
-		}
-		return n
-	}
 	r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(10, false), OK: true})
-	require.Zero(t, starts())
+	require.Empty(t, startsIn(r.m.Step(r.now, 0)))
 	r.now = r.now.Add(time.Second)
 	require.Len(t, r.m.Collect(10, true).Engaged, 1)
 	actions := r.m.Step(r.now, 0, Stored{Batch: r.m.Collect(10, true), OK: true})
-	require.Condition(t, func() bool {
-		for _, action := range actions {
-			if _, ok := action.(Start); ok {
-				return true
-			}
-		}
-		return false
-	})
+	require.NotEmpty(t, startsIn(actions))
 }
 
 // Guards against a released worker that stays in the load row, so that the next
@@ -436,13 +421,9 @@
 func TestStartMayReachRestartedWorker(t *testing.T) {
 	for name, arrives := range map[string]bool{"arrives": true, "is lost": false} {
 		r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
-		actions := r.m.Step(r.now, 0, testJob("j1", simpleStep(1)))
-		var s Start
-		for _, a := range actions {
-			if start, ok := a.(Start); ok {
-				s = start
-			}
-		}
+		orders := startsIn(r.m.Step(r.now, 0, testJob("j1", simpleStep(1))))
+		require.Len(t, orders, 1, name)
+		s := orders[0]
 		w := r.workers[s.Incarnation.ID]
 		w.Born++ // restarts before the order arrives
 		w.lastEnd, w.ended, w.startedAt = 0, nil, r.now.Add(-10*time.Millisecond)
