--- a/review/.standins-3/main.go
+++ b/review/.standins-3/main.go
@@ -450,7 +450,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standins3 CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(*recorder) (int, error){"limit": limitCase, "growth": growthCase, "ids": idsCase, "name": nameCase}
+	cases := map[string]func(*recorder) (int, error){"ids": idsCase, "hopeless": hopelessCase, "limit": limitCase}
 	play := cases[os.Args[1]]
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil || play == nil {
--- a/review/.standins-3/worker.go
+++ b/review/.standins-3/worker.go
@@ -14,7 +14,7 @@
 
 // A worker: /run-start, /run-stop, /hold and /pace of PROTOCOL.md, and its entry
 // in the store. How long a task runs and what it takes stand in its spec, as in
-// "run-ms=200 cpu=500" or "lasts cpu=500"; "run-ms=200,900" gives a time to each step. It rejects what does not fit
+// "run-ms=200 cpu=500" or "lasts cpu=500"; "run-ms=200,900" gives a time to each step. If the last word is "fails", the task always fails. It rejects what does not fit
 // (`preconditions` is true).
 
 const (
@@ -31,6 +31,7 @@
 	lasting    bool
 	cpu        int
 	stopped    bool
+	fails      bool
 	checkpoint string
 }
 
@@ -133,6 +134,8 @@
 			}
 			left = append(left, r)
 			continue
+		case !r.lasting && now.Sub(r.began) >= r.length && r.fails:
+			w.record(r, "failed")
 		case !r.lasting && now.Sub(r.began) >= r.length:
 			w.record(r, "done")
 		default:
@@ -297,7 +300,7 @@
 	if used > w.capacityCPU {
 		return "room"
 	}
-	r := &run{task: o.Task, attempt: o.Attempt, began: time.Now(), length: length, lasting: lasting, cpu: cpu, checkpoint: o.Checkpoint}
+	r := &run{task: o.Task, attempt: o.Attempt, began: time.Now(), length: length, lasting: lasting, cpu: cpu, checkpoint: o.Checkpoint, fails: strings.HasSuffix(o.Spec, " fails")}
 	w.runs = append(w.runs, r)
 	return ""
 }
