--- a/review/.standins-3/worker.go
+++ b/review/.standins-3/worker.go
@@ -14,7 +14,8 @@
 
 // A worker: /run-start, /run-stop, /hold and /pace of PROTOCOL.md, and its entry
 // in the store. How long a task runs and what it takes stand in its spec, as in
-// "run-ms=200 cpu=500" or "lasts cpu=500"; "run-ms=200,900" gives a time to each step. If the last word is "fails", the task always fails. It rejects what does not fit
+// "run-ms=200 cpu=500" or "lasts cpu=500"; "run-ms=200,900" gives a time to each step. If
+// the last word is "fails", the task always fails. The worker rejects what does not fit
 // (`preconditions` is true).
 
 const (
