pools, engine: a cancellation is addressed to one job of one queue

Cause: a cancellation's row names a queue and an ID, but engine.CancelRequested had the ID only. Each change of the work table is offered to all pools that a process holds, and each engine cancelled its job with that ID. It takes two pools with one owner. The same ID alone was compared for rows read by a new owner or again after missed changes, if a queue's route had moved between the pools, for jobs found because a worker reports them, for tombstones, and for what an owner without lease defers.

Change: workload.JobKey, queue key and ID, is the identity of a job. The keys of the work table are built from it, CancelRequested carries it, and the engine compares it with what is stored with the job. A cancellation is still offered to all pools: which pool a job belongs to is what its submission says, not today's routes.

--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -243,6 +243,11 @@
 	return JobAdded{Submission: workload.Submission{ID: id, Queue: testQueue, Pool: "p", Spec: "x", Steps: steps}}
 }
 
+// testKey returns the identity of the job that testJob returns for the ID.
+func testKey(id string) workload.JobKey {
+	return workload.JobKey{Queue: testQueue.Key(), ID: id}
+}
+
 func simpleStep(count int) workload.Step {
 	return workload.Step{Count: count, Size: placement.Size{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second}
 }
--- a/engine/event.go
+++ b/engine/event.go
@@ -20,7 +20,7 @@
 }
 
 // CancelRequested reports a caller's request to cancel a job.
-type CancelRequested struct{ Job string }
+type CancelRequested struct{ Job workload.JobKey }
 
 // QueuesUpdated carries the current configuration of all queues.
 type QueuesUpdated struct{ Queues []workload.Queue }
--- a/engine/job.go
+++ b/engine/job.go
@@ -11,6 +11,7 @@
 // job is the state of a job whose end is not stored yet.
 type job struct {
 	submission          workload.Submission
+	key                 workload.JobKey
 	queue               workload.Queue // last known configuration; its limits apply even after the queue is removed
 	state               workload.JobState
 	recovered           bool // submitted before this owner took over the pool
@@ -107,7 +108,7 @@
 
 func newJob(now time.Time, wallMs int64, e JobAdded, queue workload.Queue) *job {
 	j := &job{
-		submission: e.Submission, queue: queue, state: workload.Queued, recovered: e.Recovered,
+		submission: e.Submission, key: e.Submission.Key(), queue: queue, state: workload.Queued, recovered: e.Recovered,
 		arrived: now, finishedOccurrences: map[int]bool{},
 	}
 	if age := time.Duration(wallMs-e.Submission.Accepted) * time.Millisecond; e.Recovered && age > 0 {
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -138,12 +138,33 @@
 	require.Len(t, r.starts, 1)
 }
 
+// The cancellation of a job in one queue stopped the job with the same ID in another, also
+// one that had been looked up because a worker reported it.
+func TestCancellationOfAnotherQueueStopsNothing(t *testing.T) {
+	other := workload.JobKey{Queue: workload.QueueKey("h", "/other/"), ID: "j1"}
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", longRunningStep(1, 0)), CancelRequested{Job: other})
+	r.advance(time.Second)
+	require.Empty(t, r.stops)
+	require.Len(t, r.workers["a"].running, 1)
+
+	r, a := newHarnessWithUnreadJob(t)
+	r.step(CancelRequested{Job: other})
+	job := testJob("j1", simpleStep(1))
+	job.Recovered = true
+	r.step(job, JobsSearched{IDs: r.search, OK: true})
+	r.advance(time.Second)
+	require.Empty(t, r.stops)
+	require.Len(t, a.running, 1)
+	require.Empty(t, r.m.cancelledToFind)
+}
+
 // Guards against a cancelled job that is started or continues to run.
 func TestCancelledJobIsStopped(t *testing.T) {
 	r := newHarness(t, 1, nil, newWorker("a"))
 	r.step(testJob("j1", longRunningStep(1, 0)))
 	require.Len(t, r.starts, 1)
-	r.step(CancelRequested{Job: "j1"})
+	r.step(CancelRequested{Job: testKey("j1")})
 	require.Len(t, r.stops, 1)
 	r.advance(time.Second)
 	require.Len(t, r.starts, 1)
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -42,7 +42,7 @@
 	ended           map[string]workload.JobState // final states of jobs that are not in jobs any more
 	absentJobs      map[string]bool              // jobs that a worker reported and that do not exist
 	jobsToFind      map[string]bool              // unknown jobs that a worker reported
-	cancelledToFind map[string]bool              // those of jobsToFind of which a cancellation has arrived
+	cancelledToFind map[workload.JobKey]bool     // jobs with IDs in jobsToFind of which a cancellation has arrived
 	searching       bool                         // FindJobs has no result yet
 	nextSearch      time.Time                    // earliest time of the next search
 	workers         map[string]*worker
@@ -106,7 +106,7 @@
 func New(now time.Time, cfg Config, formerWorkers []EngagedWorker) *Scheduler {
 	m := &Scheduler{
 		cfg: cfg, queues: map[string]workload.Queue{}, jobs: map[string]*job{},
-		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, cancelledToFind: map[string]bool{}, workers: map[string]*worker{},
+		ended: map[string]workload.JobState{}, absentJobs: map[string]bool{}, jobsToFind: map[string]bool{}, cancelledToFind: map[workload.JobKey]bool{}, workers: map[string]*worker{},
 		toRelease: map[string]bool{}, reserved: map[*worker]bool{}, formerWorkers: map[string]formerWorker{},
 	}
 	if len(formerWorkers) > 0 {
@@ -255,18 +255,20 @@
 	m.unopened = append(m.unopened, j)
 	m.toClose = append(m.toClose, j)
 	m.needsPlacement = true
-	if m.cancelledToFind[id] {
-		delete(m.cancelledToFind, id)
-		m.cancelJob(id)
+	if m.cancelledToFind[j.key] {
+		delete(m.cancelledToFind, j.key)
+		m.cancelJob(j.key)
 	}
 }
 
-func (m *Scheduler) cancelJob(id string) {
-	j, ok := m.jobs[id]
-	if !ok && m.jobsToFind[id] {
-		m.cancelledToFind[id] = true // the search may have read the job before
+// cancelJob cancels a job of this pool. Cancellations of jobs of other pools, whose IDs
+// may be equal, arrive too.
+func (m *Scheduler) cancelJob(key workload.JobKey) {
+	j, ok := m.jobs[key.ID]
+	if !ok && m.jobsToFind[key.ID] {
+		m.cancelledToFind[key] = true // the search may have read the job before
 	}
-	if !ok || j.state.Ended() {
+	if !ok || j.key != key || j.state.Ended() {
 		return
 	}
 	m.endJob(j, workload.Cancelled, "cancelled by the caller")
--- a/engine/simowner_test.go
+++ b/engine/simowner_test.go
@@ -188,7 +188,7 @@
 	}
 	if j.cancelled && !o.cancelled[id] {
 		o.cancelled[id] = true
-		o.events = append(o.events, CancelRequested{Job: id})
+		o.events = append(o.events, CancelRequested{Job: testKey(id)})
 	}
 }
 
@@ -282,12 +282,12 @@
 
 // deferNewJobs holds back new jobs while the lease is not valid.
 func (o *simOwner) deferNewJobs(events []Event) (rest, deferred []Event) {
-	jobs := map[string]bool{}
+	jobs := map[workload.JobKey]bool{}
 	for _, e := range events {
 		switch e := e.(type) {
 		case JobAdded:
 			if !e.Recovered {
-				jobs[e.Submission.ID] = true
+				jobs[e.Submission.Key()] = true
 				deferred = append(deferred, e)
 				continue
 			}
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -146,16 +146,16 @@
 	}
 }
 
-// OpenQueues returns the queues through which the jobs that have not ended were
-// submitted.
-func (m *Scheduler) OpenQueues() []workload.Queue {
-	var list []workload.Queue
+// OpenQueues returns the sorted keys of the queues through which the jobs that have not
+// ended were submitted.
+func (m *Scheduler) OpenQueues() []string {
+	var list []string
 	for _, j := range m.arrivalOrder {
-		q := &j.submission.Queue
-		if !j.state.Ended() && !slices.ContainsFunc(list, func(o workload.Queue) bool { return o.Host == q.Host && o.Prefix == q.Prefix }) {
-			list = append(list, *q)
+		if !j.state.Ended() && !slices.Contains(list, j.key.Queue) {
+			list = append(list, j.key.Queue)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
--- a/engine/takeover_test.go
+++ b/engine/takeover_test.go
@@ -410,7 +410,7 @@
 func TestCancellationOfJobThatIsLookedUpIsKept(t *testing.T) {
 	r, a := newHarnessWithUnreadJob(t)
 	require.Equal(t, []string{"j1"}, r.search)
-	r.step(CancelRequested{Job: "j1"})
+	r.step(CancelRequested{Job: testKey("j1")})
 	job := testJob("j1", simpleStep(2))
 	job.Recovered = true
 	r.step(job, JobsSearched{IDs: r.search, OK: true})
--- a/engine/unknown.go
+++ b/engine/unknown.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // A worker may report runs and ends of a job that this owner has not read, because
@@ -57,7 +59,7 @@
 			m.emit(Decision{What: "job-absent", Job: id, Why: "a worker reports it, but it was never submitted to the pool"})
 		}
 		delete(m.jobsToFind, id)
-		delete(m.cancelledToFind, id)
+		maps.DeleteFunc(m.cancelledToFind, func(job workload.JobKey, _ bool) bool { return job.ID == id })
 	}
 }
 
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -20,6 +20,7 @@
 	"github.com/carobwharf/carobwharf/ring"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // Queue sizes and limits of calls.
@@ -235,18 +236,18 @@
 
 func (d *Duty) call(ctx context.Context, c intake.Call) intake.Answer {
 	a := intake.Answer{Number: c.Number, Op: c.Op}
-	queue := store.WorkQueue(c.Host, c.Prefix)
+	job := workload.JobKey{Queue: workload.QueueKey(c.Host, c.Prefix), ID: c.Job}
 	var err error
 	switch c.Op {
 	case intake.Insert:
-		err = d.insert(ctx, queue, c, &a)
+		err = d.insert(ctx, job, c, &a)
 	case intake.PutCancel:
-		err = d.putCancel(ctx, queue, c.Job)
+		err = d.putCancel(ctx, job)
 	case intake.PutTombstone:
-		err = d.putTombstone(ctx, queue, c.Job, &a)
+		err = d.putTombstone(ctx, job, &a)
 	case intake.ReadSubmission:
 		var row store.Row
-		if row, err = d.Table.Get(ctx, store.KeyWork(queue, c.Job)); err == nil {
+		if row, err = d.Table.Get(ctx, store.KeyWork(job)); err == nil {
 			a.Submission, err = rows.DecodeWork(row.Value)
 		}
 	case intake.ReadProgress:
@@ -269,7 +270,7 @@
 }
 
 // insert stores a submission unless one with its id or a tombstone for it exists.
-func (d *Duty) insert(ctx context.Context, queue string, c intake.Call, a *intake.Answer) error {
+func (d *Duty) insert(ctx context.Context, job workload.JobKey, c intake.Call, a *intake.Answer) error {
 	value, err := rows.EncodeWork(c.Submission)
 	if err != nil {
 		return err
@@ -278,7 +279,7 @@
 		a.Result = intake.TooLarge
 		return nil
 	}
-	work, cancel := store.KeyWork(queue, c.Job), store.KeyWorkCancel(queue, c.Job)
+	work, cancel := store.KeyWork(job), store.KeyWorkCancel(job)
 	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: work, Value: value}, {Kind: store.OpCheck, Key: cancel}})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
@@ -296,24 +297,24 @@
 	return fmt.Errorf("%w: a conflict without the row", store.ErrUnavailable)
 }
 
-func (d *Duty) putCancel(ctx context.Context, queue, job string) error {
+func (d *Duty) putCancel(ctx context.Context, job workload.JobKey) error {
 	value, err := rows.EncodeCancellation(rows.Cancellation{})
 	if err != nil {
 		return err
 	}
-	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(queue, job), Value: value}})
+	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpPut, Key: store.KeyWorkCancel(job), Value: value}})
 	return err
 }
 
 // putTombstone stores a tombstone for a job unless its submission exists. One that is
 // there already is written again, so that its age counts from this cancellation.
-func (d *Duty) putTombstone(ctx context.Context, queue, job string, a *intake.Answer) error {
+func (d *Duty) putTombstone(ctx context.Context, job workload.JobKey, a *intake.Answer) error {
 	value, err := rows.EncodeCancellation(rows.Cancellation{Unsubmitted: true})
 	if err != nil {
 		return err
 	}
 	_, err = d.Table.Commit(ctx, []store.Op{
-		{Kind: store.OpCheck, Key: store.KeyWork(queue, job)}, {Kind: store.OpPut, Key: store.KeyWorkCancel(queue, job), Value: value},
+		{Kind: store.OpCheck, Key: store.KeyWork(job)}, {Kind: store.OpPut, Key: store.KeyWorkCancel(job), Value: value},
 	})
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
--- a/node/pools/engine.go
+++ b/node/pools/engine.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
@@ -87,12 +86,12 @@
 // successor may know them already and start them without delay. Recovered jobs
 // are not deferred: without them the engine would stop their runs as unwanted.
 func splitNewJobs(events []engine.Event) (remaining, deferred []engine.Event) {
-	deferredJobs := map[string]bool{}
+	deferredJobs := map[workload.JobKey]bool{}
 	for _, e := range events {
 		switch e := e.(type) {
 		case engine.JobAdded:
 			if !e.Recovered {
-				deferredJobs[e.Submission.ID] = true
+				deferredJobs[e.Submission.Key()] = true
 				deferred = append(deferred, e)
 				continue
 			}
@@ -237,7 +236,7 @@
 	}
 	c := p.Control
 	if p.engine != nil {
-		c.Waiting, c.Queues = p.engine.Waiting(), workQueueNames(p.engine.OpenQueues())
+		c.Waiting, c.Queues = p.engine.Waiting(), p.engine.OpenQueues()
 	}
 	w := p.Renew(now, c, d.releasing)
 	w.ExtraOps = ops
@@ -245,17 +244,6 @@
 	return now.Add(maxRunDueInterval)
 }
 
-// workQueueNames returns the sorted names of queues as used in the parts of the
-// work table.
-func workQueueNames(queues []workload.Queue) []string {
-	names := make([]string, len(queues))
-	for i, q := range queues {
-		names[i] = store.WorkQueue(q.Host, q.Prefix)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // writeTimes returns when the lease row, the load row and progress are due to be
 // written.
 func (d *Duty) writeTimes(now time.Time, p *pool) (renewAt, loadAt, appendAt time.Time) {
--- a/node/pools/find.go
+++ b/node/pools/find.go
@@ -7,6 +7,7 @@
 	"github.com/carobwharf/carobwharf/engine"
 	"github.com/carobwharf/carobwharf/internal/guard"
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // startFindJobs starts to read jobs that workers report and that may have been
@@ -34,14 +35,15 @@
 	}
 	for _, id := range result.ids {
 		for queue := range queues {
-			found, err := d.appendRow(ctx, &result.workRows, store.KeyWork(queue, id))
+			job := workload.JobKey{Queue: queue, ID: id}
+			found, err := d.appendRow(ctx, &result.workRows, store.KeyWork(job))
 			if err != nil {
 				return err
 			}
 			if !found {
 				continue
 			}
-			if _, err := d.appendRow(ctx, &result.workRows, store.KeyWorkCancel(queue, id)); err != nil {
+			if _, err := d.appendRow(ctx, &result.workRows, store.KeyWorkCancel(job)); err != nil {
 				return err
 			}
 		}
--- a/node/pools/find_test.go
+++ b/node/pools/find_test.go
@@ -18,19 +18,21 @@
 
 const unreadJob = "00000000000000a1"
 
+var unreadJobKey = workload.JobKey{Queue: workload.QueueKey("h", "/a/"), ID: unreadJob}
+
 // newDutyWithUnreadJob returns a duty that owns pool p, and the store with a
 // cancelled job of a queue that the duty has not read.
 func newDutyWithUnreadJob(t *testing.T) (*Duty, *pool, *fakeStore, workload.Queue) {
 	queue := workload.Queue{Name: "q", Host: "h", Prefix: "/a/", Pool: "p"}
-	name := store.WorkQueue("h", "/a/")
+	name := workload.QueueKey("h", "/a/")
 	value, err := rows.EncodeWork(workload.Submission{ID: unreadJob, Pool: "p", Queue: queue, Steps: []workload.Step{{Count: 1}}})
 	require.NoError(t, err)
 	f := &fakeStore{rows: map[string][]store.Row{
 		name + "-0": {
-			{Key: store.KeyWork(name, unreadJob), Value: value, Version: 3},
-			{Key: store.KeyWorkCancel(name, unreadJob), Version: 4},
+			{Key: store.KeyWork(workload.JobKey{Queue: name, ID: unreadJob}), Value: value, Version: 3},
+			{Key: store.KeyWorkCancel(workload.JobKey{Queue: name, ID: unreadJob}), Version: 4},
 		},
-		store.WorkQueue("h", "/b/") + "-0": nil,
+		workload.QueueKey("h", "/b/") + "-0": nil,
 	}}
 	d := newDuty()
 	d.Table, d.Feed = f, f
@@ -44,7 +46,7 @@
 // never read, and their runs were stopped.
 func TestQueueThatIsConfiguredLaterIsRead(t *testing.T) {
 	d, p, f, queue := newDutyWithUnreadJob(t)
-	p.queues[store.WorkQueue("h", "/b/")] = true
+	p.queues[workload.QueueKey("h", "/b/")] = true
 	d.workFollowed = true
 	d.handleView(&board.View{Configuration: &workload.Configuration{
 		Queues: []workload.Queue{queue, {Name: "r", Host: "h", Prefix: "/b/", Pool: "p"}},
@@ -55,11 +57,11 @@
 	require.True(t, p.readingJobs)
 	sent := p.jobsReadSent
 	d.finishRead(p)
-	require.Equal(t, []string{store.WorkQueue("h", "/a/") + "-0"}, f.readParts, "the other queue has been read")
+	require.Equal(t, []string{workload.QueueKey("h", "/a/") + "-0"}, f.readParts, "the other queue has been read")
 	require.Equal(t, sent, p.jobsReadSent, "cancellations of other queues were not read")
 	require.Len(t, p.events, 2)
 	require.True(t, p.events[0].(engine.JobAdded).Recovered)
-	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+	require.Equal(t, engine.CancelRequested{Job: unreadJobKey}, p.events[1])
 	require.Empty(t, p.unreadQueues)
 }
 
@@ -78,7 +80,7 @@
 	require.Len(t, p.events, 3)
 	require.Equal(t, unreadJob, p.events[0].(engine.JobAdded).Submission.ID)
 	require.True(t, p.events[0].(engine.JobAdded).Recovered)
-	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+	require.Equal(t, engine.CancelRequested{Job: unreadJobKey}, p.events[1])
 	require.True(t, p.events[2].(engine.JobsSearched).OK)
 }
 
@@ -86,7 +88,7 @@
 // was added without its stored progress, so that its done tasks ran again.
 func TestLateChangeDoesNotAddRecoveredJobWithoutProgress(t *testing.T) {
 	d, p, f, _ := newDutyWithUnreadJob(t)
-	name := store.WorkQueue("h", "/a/")
+	name := workload.QueueKey("h", "/a/")
 	changes := follow.Delta{Table: store.TableWork}
 	for _, row := range f.rows[name+"-0"] {
 		changes.Changes = append(changes.Changes, store.Change{Row: row})
@@ -103,5 +105,5 @@
 	d.finishRead(p)
 	require.Len(t, p.events, 2)
 	require.True(t, p.events[0].(engine.JobAdded).Recovered)
-	require.Equal(t, engine.CancelRequested{Job: unreadJob}, p.events[1])
+	require.Equal(t, engine.CancelRequested{Job: unreadJobKey}, p.events[1])
 }
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -31,9 +31,9 @@
 	pendingBatch   *engine.Batch   // batch that is being stored
 	storedLoadRow  []byte          // load row as stored last
 	pendingLoadRow []byte          // load row that is being stored; nil: the write does not include it
-	queues         map[string]bool // names, as returned by store.WorkQueue, of all queues that have been configured for the pool
+	queues         map[string]bool // keys of all queues that have been configured for the pool
 	jobsReadSent   time.Time       // when the latest complete read of the pool's jobs was sent
-	unreadQueues   []string        // names of queues that were configured after the pool's jobs had been read
+	unreadQueues   []string        // keys of queues that were configured after the pool's jobs had been read
 	missedChanges  bool            // changes of the work table were missed; the jobs must be read again
 	tombstones     intake.Tombstones
 	removing       bool      // a write that removes tombstones is in progress
@@ -291,10 +291,10 @@
 // row is a submission to the pool that can be scheduled, otherwise 0. progressByJob is
 // nil if progress was not read; in it, nil stands for progress that can't be decoded.
 func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
-	if id, ok := store.CancelledWork(c.Key); ok {
+	if job, ok := store.CancelledWork(c.Key); ok {
 		d.recordTombstone(p, c)
 		if !c.Removed {
-			p.addEvent(engine.CancelRequested{Job: id})
+			p.addEvent(engine.CancelRequested{Job: job})
 		}
 		return 0
 	}
@@ -315,7 +315,7 @@
 	}
 	recovered := c.Version < p.TakenVersion && p.Control.Token > 1
 	if recovered && progressByJob == nil {
-		p.requireRead(store.WorkQueue(work.Queue.Host, work.Queue.Prefix))
+		p.requireRead(work.Queue.Key())
 		return 0 // the engine has it already or is given it with its progress
 	}
 	progress, found := progressByJob[work.ID]
--- a/node/pools/pools.go
+++ b/node/pools/pools.go
@@ -278,7 +278,7 @@
 		if p.configuration != v.Configuration {
 			p.configuration = v.Configuration
 			for _, q := range v.Configuration.Queues {
-				queue := store.WorkQueue(q.Host, q.Prefix)
+				queue := q.Key()
 				if q.Pool != name || p.queues[queue] {
 					continue
 				}
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -29,8 +29,8 @@
 // successor had taken the pool, and the successor started it too.
 func TestOwnerWithoutLeaseDefersNewJobs(t *testing.T) {
 	job := engine.JobAdded{Submission: workload.Submission{ID: "j"}}
-	rest, deferred := splitNewJobs([]engine.Event{engine.CancelRequested{Job: "a"}, job, engine.QueuesUpdated{}})
-	require.Equal(t, []engine.Event{engine.CancelRequested{Job: "a"}, engine.QueuesUpdated{}}, rest)
+	rest, deferred := splitNewJobs([]engine.Event{engine.CancelRequested{Job: workload.JobKey{ID: "a"}}, job, engine.QueuesUpdated{}})
+	require.Equal(t, []engine.Event{engine.CancelRequested{Job: workload.JobKey{ID: "a"}}, engine.QueuesUpdated{}}, rest)
 	require.Equal(t, []engine.Event{job}, deferred)
 }
 
@@ -38,7 +38,7 @@
 // deferred recovered jobs too and stopped their runs as unwanted.
 func TestRecoveredJobsAreNotDeferred(t *testing.T) {
 	job := engine.JobAdded{Submission: workload.Submission{ID: "j"}, Recovered: true}
-	rest, deferred := splitNewJobs([]engine.Event{job, engine.CancelRequested{Job: "j"}})
+	rest, deferred := splitNewJobs([]engine.Event{job, engine.CancelRequested{Job: job.Submission.Key()}})
 	require.Len(t, rest, 2)
 	require.Empty(t, deferred)
 }
@@ -46,7 +46,8 @@
 // A cancellation that reached the engine before its deferred job was ignored,
 // and the job ran.
 func TestCancellationIsDeferredWithItsJob(t *testing.T) {
-	job, cancel := engine.JobAdded{Submission: workload.Submission{ID: "j"}}, engine.CancelRequested{Job: "j"}
+	job := engine.JobAdded{Submission: workload.Submission{ID: "j"}}
+	cancel := engine.CancelRequested{Job: job.Submission.Key()}
 	rest, deferred := splitNewJobs([]engine.Event{job, cancel})
 	require.Empty(t, rest)
 	require.Equal(t, []engine.Event{job, cancel}, deferred)
@@ -126,7 +127,7 @@
 // After a power failure, the new owner of a pool read the jobs of all pools. Over
 // a link of 10 Mbit/s each attempt timed out, for 15 s in total.
 func TestOwnerReadsOnlyTheQueuesOfItsPool(t *testing.T) {
-	own, former, other := store.WorkQueue("h", "/a/"), store.WorkQueue("h", "/removed/"), store.WorkQueue("h", "/b/")
+	own, former, other := workload.QueueKey("h", "/a/"), workload.QueueKey("h", "/removed/"), workload.QueueKey("h", "/b/")
 	f := &fakeStore{rows: map[string][]store.Row{own + "-0": nil, own + "-3": nil, former + "-1": nil, other + "-0": nil}}
 	d := newDuty()
 	d.Table, d.Feed = f, f
@@ -148,8 +149,8 @@
 		ID: "00000000000000a1", Pool: "p", Queue: queue, Steps: []workload.Step{{Count: 1}},
 	})
 	require.NoError(t, err)
-	name := store.WorkQueue("h", "/a/")
-	job := store.Row{Key: store.KeyWork(name, "00000000000000a1"), Value: value, Version: 3}
+	name := workload.QueueKey("h", "/a/")
+	job := store.Row{Key: store.KeyWork(workload.JobKey{Queue: name, ID: "00000000000000a1"}), Value: value, Version: 3}
 	f := &fakeStore{rows: map[string][]store.Row{name + "-0": {job}}}
 	d := newDuty()
 	d.Table, d.Feed = f, f
@@ -161,13 +162,13 @@
 	require.True(t, p.missedChanges)
 	d.runPool(context.Background(), d.now(), p)
 	require.True(t, p.readingJobs)
-	cancel := store.Change{Row: store.Row{Key: store.KeyWorkCancel(name, "00000000000000a1"), Version: 9}}
+	cancel := store.Change{Row: store.Row{Key: store.KeyWorkCancel(workload.JobKey{Queue: name, ID: "00000000000000a1"}), Version: 9}}
 	d.handleDelta(follow.Delta{Table: store.TableWork, Changes: []store.Change{cancel}, Sent: d.now()})
 	d.finishRead(p)
 	require.False(t, p.missedChanges)
 	require.Len(t, p.events, 2)
 	require.Equal(t, "00000000000000a1", p.events[0].(engine.JobAdded).Submission.ID)
-	require.Equal(t, engine.CancelRequested{Job: "00000000000000a1"}, p.events[1])
+	require.Equal(t, engine.CancelRequested{Job: workload.JobKey{Queue: name, ID: "00000000000000a1"}}, p.events[1])
 }
 
 // finishRead handles results until the jobs of the pool are read. The result of a write
--- a/node/pools/tombstones_test.go
+++ b/node/pools/tombstones_test.go
@@ -10,6 +10,7 @@
 	"github.com/carobwharf/carobwharf/intake"
 	"github.com/carobwharf/carobwharf/rows"
 	"github.com/carobwharf/carobwharf/store"
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // removalTable records transactions and answers them with err.
@@ -27,7 +28,7 @@
 func tombstoneRow(t *testing.T, queue, id string, version uint64) store.Change {
 	value, err := rows.EncodeCancellation(rows.Cancellation{Unsubmitted: true})
 	require.NoError(t, err)
-	return store.Change{Row: store.Row{Key: store.KeyWorkCancel(queue, id), Version: version, Value: value}}
+	return store.Change{Row: store.Row{Key: store.KeyWorkCancel(workload.JobKey{Queue: queue, ID: id}), Version: version, Value: value}}
 }
 
 // Tombstones that nobody removes fill the store. The owner of the queue's pool removes
@@ -37,12 +38,12 @@
 	d, table := newDuty(), &removalTable{}
 	d.Table = table
 	p := d.addPool("p")
-	queue := store.WorkQueue("h", "/a/")
+	queue := workload.QueueKey("h", "/a/")
 	p.queues[queue] = true
 	stone := tombstoneRow(t, queue, "id", 7)
 	d.addWorkEvent(p, stone, nil)
-	d.addWorkEvent(p, tombstoneRow(t, store.WorkQueue("h", "/other/"), "id", 8), nil)
-	d.addWorkEvent(p, store.Change{Row: store.Row{Key: store.KeyWorkCancel(queue, "job"), Version: 9, Value: []byte("{}")}}, nil)
+	d.addWorkEvent(p, tombstoneRow(t, workload.QueueKey("h", "/other/"), "id", 8), nil)
+	d.addWorkEvent(p, store.Change{Row: store.Row{Key: store.KeyWorkCancel(workload.JobKey{Queue: queue, ID: "job"}), Version: 9, Value: []byte("{}")}}, nil)
 	require.Equal(t, 1, p.tombstones.Len())
 
 	now := d.now()
--- a/rows/work.go
+++ b/rows/work.go
@@ -57,7 +57,7 @@
 	Lease
 	Share   float64          // CPU share of the holder's VM, as a fraction of a core
 	Waiting map[string]int   `json:",omitempty"` // by queue: number of the pool's jobs without a started task
-	Queues  []string         `json:",omitempty"` // queues of the pool's open jobs, as named by store.WorkQueue
+	Queues  []string         `json:",omitempty"` // keys of the queues of the pool's open jobs
 	Release []string         `json:",omitempty"` // machines that the holder of the fleet's lease asks the pools to free of work
 	Ordered []string         `json:",omitempty"` // other machines that the holder of the fleet's lease has ordered recently
 	Listed  bool             `json:",omitempty"` // Release and Ordered name all machines that may have been ordered recently
--- a/store/keys.go
+++ b/store/keys.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"strconv"
 	"strings"
+
+	"github.com/carobwharf/carobwharf/workload"
 )
 
 // Keys and key prefixes of the table, and name prefixes of the object store.
@@ -76,29 +78,18 @@
 // suffixCancel is the suffix of a cancellation's key.
 const suffixCancel = "/cancel"
 
-// WorkQueue returns the name that identifies a queue in the parts of TableWork.
-// Each queue has its own parts, so that the owner of a pool reads only the
-// submissions to its queues. The name is derived from host and prefix, because
-// a queue's configured name may be given to another queue while a caller is
-// retrying a submission.
-func WorkQueue(host, prefix string) string {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(host + "\x00" + prefix))
-	return strconv.FormatUint(h.Sum64(), 36)
-}
-
-// KeyWork returns the key of a job submission. queue is a result of WorkQueue.
-func KeyWork(queue, id string) string {
+// KeyWork returns the key of a job submission. Each queue has its own parts, so that the
+// owner of a pool reads only the submissions to its queues.
+func KeyWork(job workload.JobKey) string {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(id))
-	return TableWork + "/" + queue + "-" + strconv.Itoa(int(h.Sum32()%workPartsPerQueue)) + "/" + id
+	_, _ = h.Write([]byte(job.ID))
+	return TableWork + "/" + job.Queue + "-" + strconv.Itoa(int(h.Sum32()%workPartsPerQueue)) + "/" + job.ID
 }
 
 // KeyWorkCancel returns the key of the cancellation of a job submission.
-func KeyWorkCancel(queue, id string) string { return KeyWork(queue, id) + suffixCancel }
+func KeyWorkCancel(job workload.JobKey) string { return KeyWork(job) + suffixCancel }
 
-// QueueOfPart returns the queue, as named by WorkQueue, to which a part of
-// TableWork belongs.
+// QueueOfPart returns the key of the queue to which a part of TableWork belongs.
 func QueueOfPart(part string) string {
 	queue, _, _ := strings.Cut(part, "-")
 	return queue
@@ -110,11 +101,11 @@
 	return part
 }
 
-// CancelledWork returns the ID of the job submission that the row with this key
-// cancels. ok is false if the row is not a cancellation.
-func CancelledWork(key string) (id string, ok bool) {
+// CancelledWork returns the job that the row with this key cancels. ok is false if the
+// row is not a cancellation.
+func CancelledWork(key string) (job workload.JobKey, ok bool) {
 	key, ok = strings.CutSuffix(key, suffixCancel)
-	return key[strings.LastIndexByte(key, '/')+1:], ok
+	return workload.JobKey{Queue: QueueOfPart(WorkPart(key)), ID: key[strings.LastIndexByte(key, '/')+1:]}, ok
 }
 
 // PrefixProgress returns the prefix of the progress keys of a pool's jobs.
