pools: changes that wait for a read are bounded, and wait only where they must

Cause: from its claim until the end of a read of its jobs, a pool kept each change of the work table, submissions of all pools among them, without a bound. All changes waited while one new queue was read. If a read failed, they waited for the next one that succeeded, so that a cancelled job went on. And a repeated read took its queues from the configuration and the former owner, not from the jobs: the cancellation of a job whose route this process had never seen was missed for good.

Change: a change is decoded once and offered only to the pool that is stored with the submission; cancellations go to all. What arrives before a read is not kept, since the read shows it. With an engine, new jobs and cancellations of known jobs are applied at once, also during a read, and what waited is applied when the read fails. Beyond 4 MiB of rows a pool drops them and reads its jobs once more. A repeated read includes the queues of open jobs.

--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -274,6 +274,13 @@
 	m.endJob(j, workload.Cancelled, "cancelled by the caller")
 }
 
+// Expects reports whether a cancellation of the job can have an effect: the job is open, or
+// one with its ID is being looked up.
+func (m *Scheduler) Expects(key workload.JobKey) bool {
+	j, ok := m.jobs[key.ID]
+	return ok && j.key == key || m.jobsToFind[key.ID]
+}
+
 // endJob sets the job's final state and stops its remaining runs.
 func (m *Scheduler) endJob(j *job, state workload.JobState, why string) {
 	j.state, j.endedAt, j.dirty = state, m.wallMs, true
--- a/node/pools/cancel_test.go
+++ b/node/pools/cancel_test.go
@@ -135,6 +135,8 @@
 
 // addRow adds a row of the work table.
 func (f *fakeStore) addRow(row store.Row) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	part := store.QueueOfPart(store.WorkPart(row.Key)) + "-0"
 	f.rows[part] = append(f.rows[part], row)
 }
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -25,8 +25,9 @@
 	configuration  *workload.Configuration
 	engine         *engine.Scheduler
 	events         []engine.Event // for the next step of the engine
-	earlyChanges   []store.Change // changes of the work table that arrived before the jobs have been read
 	readingJobs    bool
+	earlyChanges   []store.Change  // changes of the work table to apply after the read of the jobs that is in progress
+	earlyBytes     int             // size of the rows in earlyChanges
 	readJobsAt     time.Time       // earliest next attempt to read the jobs
 	pendingBatch   *engine.Batch   // batch that is being stored
 	storedLoadRow  []byte          // load row as stored last
@@ -50,7 +51,8 @@
 
 // reset drops the state of a lease term that has ended.
 func (p *pool) reset() {
-	p.engine, p.events, p.earlyChanges, p.pendingBatch, p.storedLoadRow, p.pendingLoadRow = nil, nil, nil, nil, nil, nil
+	p.engine, p.events, p.pendingBatch, p.storedLoadRow, p.pendingLoadRow = nil, nil, nil, nil, nil
+	p.clearEarlyChanges()
 	p.tombstones = intake.Tombstones{}
 }
 
@@ -165,7 +167,14 @@
 		for _, q := range p.FormerControl.Queues {
 			queues[q] = true
 		}
+		if p.engine != nil {
+			// Jobs may have come through a route that this process has never seen.
+			for _, q := range p.engine.OpenQueues() {
+				queues[q] = true
+			}
+		}
 	}
+	p.clearEarlyChanges() // the read shows them
 	for _, q := range p.unreadQueues {
 		queues[q] = true
 	}
@@ -224,6 +233,9 @@
 		p.readJobsAt = d.now().Add(jobsReadRetry)
 		p.unreadQueues = append(p.unreadQueues, result.unreadQueues...)
 		p.missedChanges = p.missedChanges || p.engine != nil && len(result.unreadQueues) == 0
+		if p.engine != nil {
+			d.applyEarlyChanges(p, nil) // the next read may take long
+		}
 		return
 	}
 	if len(result.unreadQueues) == 0 {
@@ -263,10 +275,7 @@
 	for _, row := range result.workRows {
 		jobs += d.addWorkEvent(p, store.Change{Row: row}, progressByJob)
 	}
-	for _, c := range p.earlyChanges {
-		d.addWorkEvent(p, c, progressByJob)
-	}
-	p.earlyChanges = nil
+	d.applyEarlyChanges(p, progressByJob)
 	return jobs
 }
 
@@ -286,51 +295,3 @@
 	}
 	return byJob
 }
-
-// addWorkEvent queues an event for a row of the work table. It returns 1 if the
-// row is a submission to the pool that can be scheduled, otherwise 0. progressByJob is
-// nil if progress was not read; in it, nil stands for progress that can't be decoded.
-func (d *Duty) addWorkEvent(p *pool, c store.Change, progressByJob map[string]*workload.Progress) int {
-	if job, ok := store.CancelledWork(c.Key); ok {
-		d.recordTombstone(p, c)
-		if !c.Removed {
-			p.addEvent(engine.CancelRequested{Job: job})
-		}
-		return 0
-	}
-	if c.Removed {
-		return 0
-	}
-	work, err := rows.DecodeWork(c.Value)
-	if err != nil {
-		d.Log.Warn("can't decode submission", "row", c.Key, "error", err)
-		return 0
-	}
-	if work.Pool != p.Name {
-		return 0
-	}
-	if err := work.Validate(); err != nil {
-		d.Log.Error("a stored job can't be scheduled", "row", c.Key, "error", err)
-		return 0
-	}
-	recovered := c.Version < p.TakenVersion && p.Control.Token > 1
-	if recovered && progressByJob == nil {
-		p.requireRead(work.Queue.Key())
-		return 0 // the engine has it already or is given it with its progress
-	}
-	progress, found := progressByJob[work.ID]
-	if found && progress == nil {
-		return 0 // without its progress, done tasks would run again
-	}
-	p.addEvent(engine.JobAdded{Submission: work, Progress: progress, Recovered: recovered})
-	return 1
-}
-
-// requireRead makes the duty read the jobs of a queue unless it has done or will do so.
-func (p *pool) requireRead(queue string) {
-	if p.queues[queue] || slices.Contains(p.FormerControl.Queues, queue) {
-		return
-	}
-	p.queues[queue] = true
-	p.unreadQueues = append(p.unreadQueues, queue)
-}
--- a/node/pools/pools_test.go
+++ b/node/pools/pools_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,21 +84,27 @@
 type fakeStore struct {
 	store.Table
 	store.Feed
+	mu        sync.Mutex             // pools read at the same time
 	rows      map[string][]store.Row // by part of the work table
 	readParts []string
 	load      []byte // value of the load row; nil: a valid one
+	readError error  // result of reads of the work table
 }
 
 func (f *fakeStore) Parts(context.Context, string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return slices.Sorted(maps.Keys(f.rows)), nil
 }
 
 func (f *fakeStore) Snapshot(_ context.Context, _ string, parts ...string) (list []store.Row, _ uint64, _ error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, part := range parts {
 		f.readParts = append(f.readParts, part)
 		list = append(list, f.rows[part]...)
 	}
-	return list, 7, nil
+	return list, 7, f.readError
 }
 
 func (f *fakeStore) Commit(context.Context, []store.Op) ([]uint64, error) {
@@ -107,6 +114,8 @@
 func (f *fakeStore) Scan(context.Context, string, string, int) ([]store.Row, error) { return nil, nil }
 
 func (f *fakeStore) Get(_ context.Context, key string) (store.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, list := range f.rows {
 		for _, row := range list {
 			if row.Key == key {
--- a/node/pools/registry.go
+++ b/node/pools/registry.go
@@ -7,9 +7,7 @@
 	"time"
 
 	"github.com/carobwharf/carobwharf/engine"
-	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/node/follow"
-	"github.com/carobwharf/carobwharf/node/holder"
 	"github.com/carobwharf/carobwharf/store"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -107,37 +105,6 @@
 	return newest
 }
 
-// handleWorkDelta applies changes of the work table.
-func (d *Duty) handleWorkDelta(delta follow.Delta) {
-	if delta.Failed {
-		return
-	}
-	d.workFollowed = d.workFollowed || delta.Reset
-	for _, name := range d.names {
-		p := d.pools[name]
-		p.missedChanges = p.missedChanges || delta.Reset
-		if !p.missedChanges && !p.readingJobs {
-			p.jobsReadSent = times.Later(p.jobsReadSent, delta.Sent)
-		}
-	}
-	for _, c := range delta.Changes {
-		d.handleWorkChange(c)
-	}
-}
-
-// handleWorkChange passes a changed row of the work table to the pools that this
-// process holds or claims.
-func (d *Duty) handleWorkChange(c store.Change) {
-	for _, name := range d.names {
-		switch p := d.pools[name]; {
-		case p.engine != nil && !p.readingJobs:
-			d.addWorkEvent(p, c, nil)
-		case p.State != holder.Idle:
-			p.earlyChanges = append(p.earlyChanges, c) // replayed after the jobs have been read
-		}
-	}
-}
-
 // updateRegistrations applies changes of the registrations and reports whether
 // a worker was added, changed or removed.
 func (d *Duty) updateRegistrations(now time.Time, delta follow.Delta) bool {
