intake, pools: stored progress names the queue of its job

Cause: a progress row is kept by pool and ID. A GET reads it under the pool to which the queue leads today. Once a route had moved, or for an ID that the queue never had, the caller was shown the state of another queue's job, for instance `completed` of a job that nobody submitted. A new owner gave the stored progress to each job with the ID.

Change: the row has the key of its job's queue. GET and the owner compare it; a row without it, of the former build, counts as the job's own, and the former build ignores the field.

Evidence: TestStateOfAnotherQueuesJobIsNotShown and TestProgressIsThatOfTheJobOfItsQueue failed before ("completed" was answered; both jobs were added with the progress).

--- a/engine/job.go
+++ b/engine/job.go
@@ -322,7 +322,7 @@
 
 // progress returns the state of the job that is to be stored.
 func (j *job) progress() workload.Progress {
-	p := workload.Progress{State: j.state, Ended: j.endedAt, NextOccurrence: j.firstOpen}
+	p := workload.Progress{Queue: j.key.Queue, State: j.state, Ended: j.endedAt, NextOccurrence: j.firstOpen}
 	if j.state.Ended() {
 		return p
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -391,7 +391,7 @@
 
 func (h *Handler) handleProgressRead(now time.Time, p *pendingRequest, a Answer) {
 	switch {
-	case a.Result == Done:
+	case a.Result == Done && a.Progress.BelongsTo(p.queue.Key()):
 		h.addReply(p, Reply{Outcome: Found, State: a.Progress.State})
 	case p.progressPool != p.queue.Pool:
 		h.addReply(p, Reply{Outcome: Found, State: workload.Queued})
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -133,6 +133,37 @@
 	require.Equal(t, workload.Running, onlyReply(t, h).State)
 }
 
+// A pool had a job with the ID that the caller asked for, of another queue. Its state was
+// shown to the caller, whose own job is in the queue's former pool, or was never submitted.
+func TestStateOfAnotherQueuesJobIsNotShown(t *testing.T) {
+	foreign := Answer{Number: 1, Op: ReadProgress, Progress: workload.Progress{Queue: workload.QueueKey("h", "/a/b/"), State: workload.Completed}}
+	own := foreign
+	own.Progress = workload.Progress{Queue: workload.QueueKey("h", "/a/"), State: workload.Running}
+	ask := func() *Handler {
+		h := newConfiguredHandler(t)
+		h.HandleRequest(start, newRequest(QueryState, "/a/"+jobID))
+		onlyCall(t, h)
+		h.HandleAnswer(start, foreign)
+		require.Equal(t, ReadSubmission, onlyCall(t, h).Op)
+		return h
+	}
+	h := ask()
+	h.HandleAnswer(start, Answer{Number: 1, Op: ReadSubmission, Result: NotFound})
+	require.Equal(t, NoJob, onlyReply(t, h).Outcome)
+
+	h = ask()
+	h.HandleAnswer(start, Answer{Number: 1, Op: ReadSubmission, Submission: workload.Submission{Pool: "old"}})
+	require.Equal(t, "old", onlyCall(t, h).Pool)
+	h.HandleAnswer(start, own)
+	require.Equal(t, workload.Running, onlyReply(t, h).State)
+
+	h = ask()
+	h.HandleAnswer(start, Answer{Number: 1, Op: ReadSubmission, Submission: workload.Submission{Pool: "old"}})
+	onlyCall(t, h)
+	h.HandleAnswer(start, foreign)
+	require.Equal(t, workload.Queued, onlyReply(t, h).State)
+}
+
 // Replies that need no call to the store, and the cancellation of a job that
 // does not exist.
 func TestSimpleReplies(t *testing.T) {
--- a/node/pools/work.go
+++ b/node/pools/work.go
@@ -128,8 +128,12 @@
 		return 0 // the engine has it already or is given it with its progress
 	}
 	progress, found := progressByJob[work.ID]
-	if found && progress == nil {
+	switch {
+	case found && progress == nil:
 		return 0 // without its progress, done tasks would run again
+	case found && !progress.BelongsTo(work.Queue.Key()):
+		d.Log.Warn("not scheduling a job whose ID is in use by another queue of its pool", "row", w.Key)
+		return 0
 	}
 	p.addEvent(engine.JobAdded{Submission: *work, Progress: progress, Recovered: recovered})
 	return 1
--- a/node/pools/work_test.go
+++ b/node/pools/work_test.go
@@ -71,6 +71,25 @@
 	require.Equal(t, 1, d.openJobs("a"), "the cancelled job is open")
 }
 
+// A job of another queue took over the stored progress of the job with the same ID: its
+// tasks counted as done, and the tasks of the job that had run ran again.
+func TestProgressIsThatOfTheJobOfItsQueue(t *testing.T) {
+	other := workload.Queue{Name: "c", Host: "h", Prefix: "/c/", Pool: "a"}
+	progress, err := rows.EncodeProgress(workload.Progress{Queue: queueA.Key(), State: workload.Running})
+	require.NoError(t, err)
+	for name, stored := range map[string][]store.Row{
+		"own job first":   {submissionRow(t, queueA, 3), submissionRow(t, other, 4)},
+		"other job first": {submissionRow(t, other, 4), submissionRow(t, queueA, 3)},
+	} {
+		d, _ := newDutyWithTwoPools(t)
+		p := d.pools["a"]
+		p.engine = engine.New(d.now(), engine.Config{Pool: "a", Token: 2}, nil)
+		d.addJobEvents(p, jobsRead{workRows: stored, progressRows: []store.Row{{Key: store.KeyProgress("a", sharedID), Value: progress}}})
+		require.Len(t, p.events, 1, name)
+		require.Equal(t, queueA, p.events[0].(engine.JobAdded).Submission.Queue, name)
+	}
+}
+
 // manySubmissions returns the rows of n large jobs of a queue.
 func manySubmissions(t *testing.T, q workload.Queue, n int) []store.Row {
 	list := make([]store.Row, n)
--- a/workload/key.go
+++ b/workload/key.go
@@ -15,6 +15,10 @@
 // Key returns the identity of the submitted job.
 func (s *Submission) Key() JobKey { return JobKey{Queue: s.Queue.Key(), ID: s.ID} }
 
+// BelongsTo reports whether the progress may be that of a job of the queue with the given
+// key.
+func (p *Progress) BelongsTo(queue string) bool { return p.Queue == "" || p.Queue == queue }
+
 // Key returns the key of the queue. It is derived from host and prefix, because the
 // configured name may be given to another queue while a caller is retrying a submission.
 func (q *Queue) Key() string { return QueueKey(q.Host, q.Prefix) }
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -185,6 +185,7 @@
 
 // Progress is the stored state of a job.
 type Progress struct {
+	Queue          string         `json:"q,omitempty"` // key of the job's queue; "": written by an earlier build
 	State          JobState       `json:"state"`
 	Ended          int64          `json:"ended,omitempty"` // Unix ms of the end of the job; 0: not ended
 	NextOccurrence int            `json:"next,omitempty"`  // first occurrence that has not ended
