engine: an unhealthy answer doesn't shorten a quarantine

A worker that refused a start as unhealthy was kept out for 2 s from then on, also if its quarantine would have lasted for up to 16 s more: the answer to a start that was under way when the quarantine began ended it early. The later of both times counts now.

--- a/engine/run.go
+++ b/engine/run.go
@@ -250,7 +250,7 @@
 		w.suspect = true
 		w.nextHold = now
 	case Unhealthy:
-		w.quarantinedUntil = now.Add(minQuarantine)
+		w.quarantinedUntil = times.Later(w.quarantinedUntil, now.Add(minQuarantine))
 	case Invalid:
 		t.notBefore = now.Add(time.Second)
 		t.step.allFrom = t.notBefore
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -243,6 +243,22 @@
 	}
 }
 
+// A start that a worker refused as unhealthy replaced the quarantine that was in force by a
+// shorter one.
+func TestUnhealthyAnswerDoesNotShortenAQuarantine(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.workers["a"].startResult = Unhealthy
+	starts := startsIn(r.m.Step(r.now, 0, testJob("j1", simpleStep(1))))
+	require.Len(t, starts, 1)
+	w := r.m.workers["a"]
+	w.quarantinedUntil = r.now.Add(maxQuarantine)
+	r.m.Step(r.now, 0, r.answer(starts[0])...)
+	r.advance(maxQuarantine - time.Second)
+	require.Len(t, r.starts, 1)
+	r.advance(2 * time.Second)
+	require.Greater(t, len(r.starts), 1)
+}
+
 // Guards against starting only some members of a gang.
 func TestGangStartsCompletelyOrNotAtAll(t *testing.T) {
 	gang := simpleStep(20)
