engine: a worker that was idle is held as soon as it has a run

Cause: an idle worker is held every 2 s, and a start did not bring its next hold forward. Only holds tell the end of a run, so the end of a task that was started at an idle worker was learned up to 2 s late: its job ended late for its callers, the retry of a failed task waited, and a worker that fails everything drew more work meanwhile.

Change: the first start at an idle worker brings its next hold forward to the gap that busy workers have, which bounds the holds of a large pool as before.

--- a/engine/place.go
+++ b/engine/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobwharf/carobwharf/internal/times"
 	"github.com/carobwharf/carobwharf/placement"
 	"github.com/carobwharf/carobwharf/workload"
 )
@@ -345,6 +346,11 @@
 		startDeadline: w.estimateClock(now) + startTimeout.Milliseconds(),
 	}
 	w.recordDeadline(now, r.startDeadline)
+	if len(w.runs) == 0 {
+		// The next hold of an idle worker may be long ahead, and only holds tell the end of
+		// a run.
+		w.nextHold = times.Earlier(w.nextHold, now.Add(m.busyHoldGap()))
+	}
 	m.addRun(r)
 	j := t.step.occ.job
 	m.emit(Start{
--- a/engine/scenario_test.go
+++ b/engine/scenario_test.go
@@ -243,6 +243,20 @@
 	}
 }
 
+// The end of a run at a worker that had been idle was learned only with the next hold of an
+// idle worker, up to 2 s later. Its job was late, and a worker that failed everything drew
+// more work meanwhile.
+func TestEndAtAWorkerThatWasIdleIsLearnedAtOnce(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.advance(2*idleHoldInterval + 100*time.Millisecond)
+	r.step(testJob("j1", simpleStep(1)))
+	require.Len(t, r.starts, 1)
+	r.advance(100 * time.Millisecond)
+	r.workers["a"].endRun(r.starts[0].Task, r.starts[0].Attempt, EndDone)
+	r.advance(200 * time.Millisecond)
+	require.Equal(t, 1, r.countDecisions("job-completed"))
+}
+
 // A start that a worker refused as unhealthy replaced the quarantine that was in force by a
 // shorter one.
 func TestUnhealthyAnswerDoesNotShortenAQuarantine(t *testing.T) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -371,12 +371,17 @@
 	case first || m.needsPromptAnswer(w):
 		w.nextHold = now.Add(holdGap)
 	case w.hasRuns() || w.lastEndProcessed > w.lastEndAcked:
-		w.nextHold = now.Add(holdGap + time.Duration(m.busyWorkers())*holdGapPerBusyWorker)
+		w.nextHold = now.Add(m.busyHoldGap())
 	default:
 		w.nextHold = now.Add(idleHoldInterval)
 	}
 }
 
+// busyHoldGap returns the time between the holds of a worker with runs.
+func (m *Scheduler) busyHoldGap() time.Duration {
+	return holdGap + time.Duration(m.busyWorkers())*holdGapPerBusyWorker
+}
+
 // busyWorkers returns the number of workers with runs.
 func (m *Scheduler) busyWorkers() int {
 	n := 0
