engine: tell the fault of a job from that of a worker

Cause: the first failure of each task counted against its worker, whatever else was known. Two tasks of one job were enough, each further one doubled the quarantine, no success during a quarantine ended it, and a pool of suspected workers idled. Afterwards a worker got a full load again at once.

Change (engine/failures.go): a failure counts only as long as nothing explains it otherwise. A run that began no earlier and succeeds at the worker takes it back; a step that fails at several workers and succeeds nowhere counts nowhere; if a step's identical tasks succeed elsewhere, its failures are the worker's, but for a task that fails elsewhere too. Otherwise it counts once for each job; two put a worker in quarantine, which ends as soon as its reason does. After it the worker is on probation with one run at a time, and only a failure then doubles the quarantine. If all workers that a step may use are suspected, they are tried one run at a time. A worker that has just failed a run is used last. Retries: a task isn't started within 1 s where it has failed, so that a bad worker doesn't use up its attempts; a step that fails everywhere loses the precedence of work that has begun; a long-running task that keeps failing is started again after 0.25 to 2 s. The wait after an unhealthy answer is a time of its own.

--- a/engine/job.go
+++ b/engine/job.go
@@ -52,6 +52,8 @@
 	runsPerWorker     map[string]int    // by worker ID
 	tickets           map[string]ticket // by worker ID
 	advicePending     bool              // a call to the placement policy is in progress
+	failures          []*stepFailures   // by worker
+	succeededAt       []*worker         // workers at which a task has succeeded, at most enoughSuccesses
 	reservationLogged bool              // since its last start, a log line says that a worker is kept free for it
 }
 
@@ -72,7 +74,7 @@
 	checkpoint      string // newest checkpoint of any run
 	runs            []*run
 	notBefore       time.Time  // earliest time of the next start
-	avoidWorker     string     // ID of the worker of the last failed or stalled run
+	failuresInRow   int        // of a long-running task that has not served in between
 	freed           *freedTask // runs that it lost after the owner's lease had ended; nil: none
 	runAdopted      bool       // this owner has adopted a run of it, so no unknown run can exist at another worker; see overrun.go
 }
@@ -99,6 +101,8 @@
 	timedOutAt    time.Time // when the start was found to have no answer
 	percent       int       // progress as last reported
 	lastProgress  time.Time // when percent last changed
+	readyAt       time.Time // when percent was first seen to be 100
+	credited      bool      // has counted as a success of its worker while it runs
 	load          int       // as last reported: tail latency in ms if the task serves requests, otherwise thousandths of a core used
 	speedLimit    int       // limit that was ordered last, as a percentage of full speed
 	stopAnswered  time.Time // when the outcome of the last stop arrived; zero while one is in progress
--- a/engine/order.go
+++ b/engine/order.go
@@ -36,7 +36,7 @@
 }
 
 func compareBegun(a, b *candidate) int {
-	switch aBegun, bBegun := a.step.occ.begun, b.step.occ.begun; {
+	switch aBegun, bBegun := a.step.isWorthEnding(), b.step.isWorthEnding(); {
 	case aBegun == bBegun:
 		return 0
 	case aBegun:
@@ -46,6 +46,9 @@
 	}
 }
 
+// isWorthEnding reports whether the step's occurrence has begun and may end well.
+func (s *step) isWorthEnding() bool { return s.occ.begun && !s.isHopeless() }
+
 // precedence decides which occurrences of equal urgency are served when the
 // pool has too little for all: the probability that one comes before another is
 // inversely proportional to its remaining work. With the least work first, large
--- a/engine/place.go
+++ b/engine/place.go
@@ -74,11 +74,14 @@
 			m.unplacedSteps++
 			continue
 		}
-		placed, allPlaced := m.placeStep(now, s)
+		placed, result := m.placeStep(now, s)
 		if placed > 0 {
 			m.logPlacement(now, c, placed)
 		}
-		if allPlaced {
+		if result != noRoom {
+			if result == retriesLater {
+				m.unplacedSteps++
+			}
 			continue
 		}
 		m.addShortfall(now, c)
@@ -190,22 +193,35 @@
 	return c
 }
 
+// stepResult is the outcome of the placement of a step.
+type stepResult int
+
+const (
+	allPlaced    stepResult = iota
+	retriesLater            // there is room only where the waiting tasks have just failed
+	noRoom                  // tasks wait for room
+)
+
 // placeStep starts the waiting tasks of a step. It returns the number of tasks
-// started, and whether all of them found a worker.
-func (m *Scheduler) placeStep(now time.Time, s *step) (placed int, allPlaced bool) {
+// started and what became of the others.
+func (m *Scheduler) placeStep(now time.Time, s *step) (placed int, result stepResult) {
 	for _, t := range s.tasks {
 		if !m.canStart(now, t) {
 			continue
 		}
-		w := m.pickWorker(now, s, t)
-		if w == nil {
-			return placed, false
+		w, hasRoom := m.pickWorker(now, s, t)
+		switch {
+		case w != nil:
+			m.startRun(now, t, w, 0)
+			s.reservationLogged = false
+			placed++
+		case hasRoom:
+			result = retriesLater
+		default:
+			return placed, noRoom
 		}
-		m.startRun(now, t, w, 0)
-		s.reservationLogged = false
-		placed++
 	}
-	return placed, true
+	return placed, result
 }
 
 // logPlacement logs the criteria by which tasks of a step were started.
@@ -218,13 +234,14 @@
 
 // usable reports whether tasks may be started at the worker now.
 func (m *Scheduler) usable(now time.Time, w *worker) bool {
-	if w.noRoomUntil.After(now) {
-		m.wakeAt(w.noRoomUntil)
-		m.needsPlacement = true
-		return false
-	}
-	if w.quarantinedUntil.After(now) {
-		m.wakeAt(w.quarantinedUntil)
+	return !m.inQuarantine(now, w) && m.isAvailable(now, w)
+}
+
+// isAvailable reports whether tasks may be started at the worker now, apart from its
+// quarantine.
+func (m *Scheduler) isAvailable(now time.Time, w *worker) bool {
+	if pause := times.Later(w.noRoomUntil, w.unhealthyUntil); pause.After(now) {
+		m.wakeAt(pause)
 		m.needsPlacement = true
 		return false
 	}
@@ -236,12 +253,14 @@
 
 // pickWorker returns the worker for a task, or nil. Finite and long-running
 // tasks are packed, so that machines become free for other pools. Best-effort
-// tasks go to the worker with the most CPU left.
-func (m *Scheduler) pickWorker(now time.Time, s *step, t *task) *worker {
-	var best *worker
+// tasks go to the worker with the most CPU left. hasRoom is set if a worker has room
+// for the task, but the task has failed there a short time ago.
+func (m *Scheduler) pickWorker(now time.Time, s *step, t *task) (best *worker, hasRoom bool) {
 	var bestScore int
 	needs := s.demand()
+	suspects := false
 	for _, w := range m.sortedWorkers {
+		suspects = suspects || w.suspected
 		if !m.mayTake(now, s, w) {
 			continue
 		}
@@ -249,12 +268,19 @@
 		if !needs.Fits(free) {
 			continue
 		}
+		if !m.mayRetryAt(now, t, w) {
+			hasRoom = true
+			continue
+		}
 		score := m.score(now, s, t, w, free)
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
-	return best
+	if best == nil && suspects && m.onlySuspectsAllowed(now, s) {
+		best = m.pickProbe(now, s, t)
+	}
+	return best, hasRoom
 }
 
 // mayTake reports whether the worker, if it has room, may take a task of the step now.
@@ -285,8 +311,10 @@
 	weightLongRunning = 1_000
 	weightRelease     = 500_000
 	weightRack        = 1_000_000
+	weightSucceeded   = 2_000_000
+	weightFailures    = 5_000_000
 	weightUnanswered  = 5_000_000
-	weightAvoid       = 10_000_000
+	weightAvoid       = 20_000_000
 )
 
 // unansweredPenaltyTime is how long after a call without an answer a worker gets only
@@ -311,7 +339,13 @@
 	if now.Sub(w.lastUnanswered) < unansweredPenaltyTime {
 		score -= weightUnanswered
 	}
-	if t.avoidWorker == w.ID {
+	if len(w.failures) > 0 && now.Sub(w.lastFailure) < failurePenaltyTime {
+		score -= weightFailures
+	}
+	if t.failures > 0 && now.Sub(w.lastSuccess) < failureMemory {
+		score += weightSucceeded
+	}
+	if f := s.failuresAt(w); f != nil && slices.Contains(f.tasks, t) {
 		score -= weightAvoid
 	}
 	return score
@@ -387,14 +421,23 @@
 }
 
 // gangWorkers returns a worker for each task of a gang, or nil if they do not
-// all fit. It prefers one rack, and waits for one if the step asks for it and
-// there is time left.
+// all fit. It avoids workers at which the gang has failed or that are suspected.
 func (m *Scheduler) gangWorkers(now time.Time, s *step) []*worker {
+	if chosen := m.gangWorkersAmong(now, s, func(w *worker) bool { return !w.suspected && s.failuresAt(w) == nil }); chosen != nil {
+		return chosen
+	}
+	return m.gangWorkersAmong(now, s, func(w *worker) bool { return true })
+}
+
+// gangWorkersAmong returns a worker for each task of a gang among those that are allowed,
+// or nil if they do not all fit. It prefers one rack, and waits for one if the step asks
+// for it and there is time left.
+func (m *Scheduler) gangWorkersAmong(now time.Time, s *step, allowed func(*worker) bool) []*worker {
 	var all []*worker
 	racks := map[string][]*worker{}
 	var names []string
 	for _, w := range m.sortedWorkers {
-		if !m.mayTake(now, s, w) {
+		if !allowed(w) || !m.mayTake(now, s, w) {
 			continue
 		}
 		all = append(all, w)
--- a/engine/reserve.go
+++ b/engine/reserve.go
@@ -34,7 +34,7 @@
 // the finite tasks there ended. A worker that the step can't use for another reason would
 // be kept free in vain, and an unknown answer of the placement policy is such a reason.
 func (m *Scheduler) lacksOnlyRoom(now time.Time, s *step, w *worker) bool {
-	if w.quarantinedUntil.After(now) || s.occ.job.queue.Policy != nil && !s.hasRecentTicket(now, w) {
+	if w.suspected || w.quarantinedUntil.After(now) || w.unhealthyUntil.After(now) || s.occ.job.queue.Policy != nil && !s.hasRecentTicket(now, w) {
 		return false
 	}
 	return m.hasRoomForLongRunning(s, w)
--- a/engine/run.go
+++ b/engine/run.go
@@ -31,7 +31,9 @@
 	r := t.findRun(w, e.Attempt)
 	w.unstoredEnds = append(w.unstoredEnds, unstoredEnd{number: e.Number, job: j})
 	t.lastAttempt = max(t.lastAttempt, e.Attempt)
+	var started time.Time
 	if r != nil {
+		started = r.startSent
 		m.removeRun(now, r)
 	}
 	if e.Checkpoint != "" {
@@ -46,20 +48,19 @@
 	}
 	switch e.Reason {
 	case EndDone:
-		m.handleDone(t, w)
+		m.handleDone(now, t, w, started)
 	case EndFailed:
 		if !slices.Contains(t.countedFailures, e.Attempt) {
 			t.recordFailure(e.Attempt)
-			m.handleFailure(now, t, w, e.Attempt)
+			m.handleFailure(now, t, w, e.Attempt, started)
 		}
 	default:
 		m.logDecision("run-ended", string(e.Reason), t, w, e.Attempt)
 	}
 }
 
-func (m *Scheduler) handleDone(t *task, w *worker) {
-	w.failuresInRow, w.quarantine = 0, 0
-	clear(w.failedJobs)
+// handleDone handles the end of a run that was ordered at started; zero: unknown.
+func (m *Scheduler) handleDone(now time.Time, t *task, w *worker, started time.Time) {
 	if t.step.spec.Gang {
 		for _, member := range t.step.tasks {
 			member.markDone()
@@ -70,38 +71,24 @@
 		m.needsPlacement = true // steps that depend on this one
 		m.toClose = append(m.toClose, t.step.occ.job)
 	}
+	m.recordSuccess(now, t.step, w, started)
 	for _, other := range t.runs {
 		m.stopRun(other, "another run is done")
 	}
 }
 
-func (m *Scheduler) handleFailure(now time.Time, t *task, w *worker, attempt int) {
+// handleFailure handles the failure of a run that was ordered at started; zero: unknown.
+func (m *Scheduler) handleFailure(now time.Time, t *task, w *worker, attempt int, started time.Time) {
 	j := t.step.occ.job
 	t.failures++
-	t.avoidWorker = w.ID
 	m.logDecision("run-failed", fmt.Sprintf("failure %d of the task", t.failures), t, w, attempt)
 	if !t.step.spec.LongRunning && t.failures >= max(1, j.queue.MaxAttempts) {
 		m.endJob(j, workload.Failed, fmt.Sprintf("task %s failed %d times", t.id, t.failures))
 	}
-	m.countWorkerFailure(now, w, t)
-}
-
-// countWorkerFailure counts a failure towards the worker's quarantine. A task
-// that has failed before is not counted unless its job already counts against
-// this worker: a task that fails at several workers is probably at fault
-// itself. Failures of a job's long-running tasks count once.
-func (m *Scheduler) countWorkerFailure(now time.Time, w *worker, t *task) {
-	if t.failures > 1 && !w.failedJobs[t.id.Job] || w.failedJobs[t.id.Job] && t.step.spec.LongRunning {
-		return
+	if t.step.spec.LongRunning {
+		t.delayRestart(now)
 	}
-	w.failedJobs[t.id.Job] = true
-	w.failuresInRow++
-	if w.failuresInRow < quarantineFailures {
-		return
-	}
-	w.quarantine = min(maxQuarantine, max(minQuarantine, 2*w.quarantine))
-	w.quarantinedUntil = now.Add(w.quarantine)
-	m.logDecision("worker-quarantined", fmt.Sprintf("%d failures in a row, for %s", w.failuresInRow, w.quarantine), t, w, 0)
+	m.recordTaskFailure(now, t, w, started)
 }
 
 // reconcileRuns compares the runs that the worker reports with those that this
@@ -171,6 +158,9 @@
 	if report.Percent != r.percent {
 		r.percent, r.lastProgress = report.Percent, now
 	}
+	if r.readyAt.IsZero() && r.percent >= 100 {
+		r.readyAt = now
+	}
 	r.load = report.Load
 	if report.Checkpoint != "" {
 		r.task.checkpoint = report.Checkpoint
@@ -250,7 +240,7 @@
 		w.suspect = true
 		w.nextHold = now
 	case Unhealthy:
-		w.quarantinedUntil = times.Later(w.quarantinedUntil, now.Add(minQuarantine))
+		w.unhealthyUntil = now.Add(unhealthyPause)
 	case Invalid:
 		t.notBefore = now.Add(time.Second)
 		t.step.allFrom = t.notBefore
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -51,6 +51,7 @@
 	releaseVersion  uint64                  // version of the fleet's row that toRelease comes from
 	upcomingRelease map[string]bool         // machines that must be released later
 	leavingWorkers  []*worker               // reused by evacuate
+	toReview        []*worker               // workers whose failures have to be judged anew
 	nextEarlyMoves  time.Time               // earliest time of the next moves off machines that must be released later
 	reserved        map[*worker]bool        // workers kept free for long-running tasks during this placement pass
 	formerWorkers   map[string]formerWorker // workers that the former owner may have used, by ID
@@ -146,6 +147,7 @@
 		m.openDueOccurrences(now) // there may be room for the next ones
 	}
 	m.superviseRuns(now)
+	m.reviewWorkers(now)
 	m.evacuate(now)
 	m.place(now)
 	m.adjustThrottling()
--- a/engine/supervision.go
+++ b/engine/supervision.go
@@ -40,6 +40,7 @@
 				m.retryStop(now, r)
 			case running:
 				m.checkProgress(now, r)
+				m.creditServing(now, r)
 			}
 		}
 	}
@@ -81,8 +82,7 @@
 		m.wakeAt(now.Add(limit - stalledFor))
 		return
 	}
-	m.countWorkerFailure(now, r.worker, r.task)
-	r.task.avoidWorker = r.worker.ID
+	m.recordTaskFailure(now, r.task, r.worker, r.startSent)
 	m.stopRun(r, "no progress for "+stalledFor.Round(time.Millisecond).String())
 }
 
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -54,16 +54,9 @@
 	// refusalRetryDelay is the delay before the next attempt after a refusal that
 	// placement did not expect.
 	refusalRetryDelay = 100 * time.Millisecond
-)
-
-// Quarantine of workers whose runs fail.
-const (
-	minQuarantine = 2 * time.Second
-	maxQuarantine = 16 * time.Second
-	// quarantineFailures is the number of failed runs, with no successful one in
-	// between, that puts a worker in quarantine. A single failure may be the
-	// fault of the task.
-	quarantineFailures = 2
+	// unhealthyPause is how long a worker that has refused a start because it is
+	// unhealthy gets no further one.
+	unhealthyPause = 2 * time.Second
 )
 
 // worker is the state of one incarnation of a worker.
@@ -97,12 +90,16 @@
 	unansweredOrders int       // orders without an answer since the last answered call
 	lastUnanswered   time.Time // when the last call was found to have no answer
 	failedHolds      int       // holds without an answer since the last answered one
+	unhealthyUntil   time.Time // no starts are sent until then, because the worker refused one as unhealthy
 	noRoomUntil      time.Time // no starts are sent until then, because the worker refused one for lack of room
 
-	failuresInRow    int             // failed runs without a successful one in between
-	failedJobs       map[string]bool // jobs whose failure here has been counted since the last successful run
-	quarantine       time.Duration   // length of the last quarantine
-	quarantinedUntil time.Time       // end of the quarantine
+	failures          []*stepFailures // that no later success has taken back; see failures.go
+	lastFailure       time.Time
+	lastSuccess       time.Time
+	suspected         bool          // enough failures count against it
+	failedOnProbation bool          // a run has failed after the end of its quarantine
+	quarantine        time.Duration // length of its last quarantine while suspected
+	quarantinedUntil  time.Time     // end of the quarantine
 }
 
 // unstoredEnd is an end that changed a job and is not known to be in the store.
@@ -170,7 +167,7 @@
 			former, ok = w, false
 		}
 		if !ok {
-			w = &worker{nextHold: now, failedJobs: map[string]bool{}}
+			w = &worker{nextHold: now}
 			m.workers[registration.ID] = w
 		}
 		if ok && registration.Draining != w.Draining {
