engine: a gang fails after max-attempts failed attempts, whichever member fails

Cause: failures were counted by task. A gang of which another member failed each time was started again until one member alone had used up its attempts, up to max-attempts times its size, and took the room of its whole size each time.

Change: the members of a gang have their attempts in common, and each attempt in which a member ends `failed` counts once, also after a change of owner: the numbers of the failed attempts are stored already.

Evidence: TestGangFailsWithItsAttempts and TestNextOwnerCountsTheFailedAttemptsOfAGang failed before (not failed after 4 attempts).

--- a/engine/failures_test.go
+++ b/engine/failures_test.go
@@ -402,6 +402,45 @@
 	require.Len(t, good.running, 16)
 }
 
+// A gang of which another member failed each time was started again for as long as each of
+// its members had attempts left, 4 x 8 times here.
+func TestGangFailsWithItsAttempts(t *testing.T) {
+	gang := simpleStep(8)
+	gang.Gang = true
+	r := newHarness(t, 1, nil, newWorker("a"), newWorker("b"))
+	r.step(testJob("j1", gang))
+	for n := 1; n <= testQueue.MaxAttempts; n++ {
+		require.Len(t, r.starts, 8*n)
+		attempt := r.starts[len(r.starts)-1].Attempt
+		for _, s := range slices.Clone(r.starts[8*(n-1):]) {
+			how := EndGangBroken
+			if s.Task.Index == n || s.Task.Index == n+1 {
+				how = EndFailed // two members of one attempt are one failure
+			}
+			r.workers[s.Incarnation.ID].endRun(s.Task, attempt, how)
+		}
+		r.advance(200 * time.Millisecond)
+	}
+	require.Equal(t, 1, r.countDecisions("job-failed"))
+	require.Len(t, r.starts, 8*testQueue.MaxAttempts)
+}
+
+// Guards against a gang whose failed attempts are counted anew by each owner.
+func TestNextOwnerCountsTheFailedAttemptsOfAGang(t *testing.T) {
+	gang := simpleStep(2)
+	gang.Gang = true
+	job := testJob("j1", gang)
+	job.Recovered, job.Progress = true, &workload.Progress{State: workload.Running, Tasks: []workload.TaskProgress{
+		{Index: 0, Failures: 2, CountedFailures: []int{1, 2}, LastAttempt: 3}, {Index: 1, Failures: 1, CountedFailures: []int{3}, LastAttempt: 3},
+	}}
+	r := newHarness(t, 2, nil, newWorker("a"))
+	r.step(job)
+	require.Len(t, r.starts, 2)
+	r.workers["a"].endRun(r.starts[0].Task, r.starts[0].Attempt, EndFailed)
+	r.advance(200 * time.Millisecond)
+	require.Equal(t, 1, r.countDecisions("job-failed"))
+}
+
 // Guards against a hopeless long-running job that is started again and again without a
 // pause, since its tasks have no limit of attempts.
 func TestHopelessLongRunningTaskIsStartedLessAndLess(t *testing.T) {
--- a/engine/job.go
+++ b/engine/job.go
@@ -263,6 +263,21 @@
 	t.countedFailures = append(t.countedFailures, attempt)
 }
 
+// failedAttempts returns how many attempts of the task have failed. The members of a gang
+// have their attempts in common: each in which one has failed counts once.
+func (t *task) failedAttempts() int {
+	if !t.step.spec.Gang {
+		return t.failures
+	}
+	attempts := map[int]bool{}
+	for _, member := range t.step.tasks {
+		for _, attempt := range member.countedFailures {
+			attempts[attempt] = true
+		}
+	}
+	return len(attempts)
+}
+
 // isIdle reports whether the task is not done and has no run.
 func (t *task) isIdle() bool { return !t.done && len(t.runs) == 0 }
 
--- a/engine/run.go
+++ b/engine/run.go
@@ -82,8 +82,8 @@
 	j := t.step.occ.job
 	t.failures++
 	m.logDecision("run-failed", fmt.Sprintf("failure %d of the task", t.failures), t, w, attempt)
-	if !t.step.spec.LongRunning && t.failures >= max(1, j.queue.MaxAttempts) {
-		m.endJob(j, workload.Failed, fmt.Sprintf("task %s failed %d times", t.id, t.failures))
+	if n := t.failedAttempts(); !t.step.spec.LongRunning && n >= max(1, j.queue.MaxAttempts) {
+		m.endJob(j, workload.Failed, fmt.Sprintf("task %s failed %d times", t.id, n))
 	}
 	if t.step.spec.LongRunning {
 		t.delayRestart(now)
