engine: waiting for a time doesn't request a placement pass in each step

The end of the next pause is kept now, and a pass runs then or after an event that changes what can be placed.

--- a/engine/failures.go
+++ b/engine/failures.go
@@ -203,8 +203,7 @@
 // inQuarantine reports whether the worker gets no runs because of its failures.
 func (m *Scheduler) inQuarantine(now time.Time, w *worker) bool {
 	if w.quarantinedUntil.After(now) {
-		m.wakeAt(w.quarantinedUntil)
-		m.needsPlacement = true
+		m.placeAgainAt(w.quarantinedUntil)
 		return true
 	}
 	return w.suspected && w.hasProbe() // its end requests a placement pass
@@ -235,8 +234,7 @@
 			continue
 		}
 		if at := w.lastFailure.Add(probeInterval); now.Before(at) {
-			m.wakeAt(at)
-			m.needsPlacement = true
+			m.placeAgainAt(at)
 			continue
 		}
 		return w
@@ -257,8 +255,7 @@
 	if !now.Before(until) || !unexplained && !slices.Contains(f.tasks, t) {
 		return true
 	}
-	m.wakeAt(until)
-	m.needsPlacement = true
+	m.placeAgainAt(until)
 	return false
 }
 
--- a/engine/failures_test.go
+++ b/engine/failures_test.go
@@ -441,6 +441,24 @@
 	require.Equal(t, 1, r.countDecisions("job-failed"))
 }
 
+// A task that waits for a time, such as the end of a pause after a failure, requested a
+// placement pass in each step until then. A pass walks all jobs, and an owner takes
+// thousands of steps a second.
+func TestWaitingForATimeNeedsNoPlacementPasses(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(1)))
+	r.failRuns("a", "j1")
+	r.advance(100 * time.Millisecond)
+	require.Len(t, r.starts, 1)
+	require.False(t, r.m.needsPlacement)
+	for r.now.Before(time.Unix(1000, 0).Add(failedStartPause + 200*time.Millisecond)) {
+		r.step()
+		require.False(t, r.m.Wake().IsZero())
+		r.now = r.m.Wake()
+	}
+	require.Len(t, r.starts, 2, "started in time, without another event")
+}
+
 // Guards against a hopeless long-running job that is started again and again without a
 // pause, since its tasks have no limit of attempts.
 func TestHopelessLongRunningTaskIsStartedLessAndLess(t *testing.T) {
--- a/engine/place.go
+++ b/engine/place.go
@@ -43,8 +43,28 @@
 	arrivalOrder int       // position among candidates in the order of arrival
 }
 
+// placeAgainAt requests a placement pass at a time at which a pause ends.
+func (m *Scheduler) placeAgainAt(t time.Time) {
+	if m.pauseEnd.IsZero() || t.Before(m.pauseEnd) {
+		m.pauseEnd = t
+	}
+}
+
+// checkPauses requests a placement pass if a pause has ended.
+func (m *Scheduler) checkPauses(now time.Time) {
+	switch {
+	case m.pauseEnd.IsZero():
+	case now.Before(m.pauseEnd):
+		m.wakeAt(m.pauseEnd)
+	default:
+		m.pauseEnd, m.needsPlacement = time.Time{}, true
+	}
+}
+
 // place starts waiting tasks on workers with free capacity.
 func (m *Scheduler) place(now time.Time) {
+	m.checkPauses(now)
+	defer m.checkPauses(now)
 	if !m.needsPlacement || m.paused {
 		return
 	}
@@ -160,8 +180,7 @@
 			continue
 		}
 		if now.Before(t.notBefore) {
-			m.wakeAt(t.notBefore)
-			m.needsPlacement = true
+			m.placeAgainAt(t.notBefore)
 			continue
 		}
 		found = found || m.canStart(now, t)
@@ -241,8 +260,7 @@
 // quarantine.
 func (m *Scheduler) isAvailable(now time.Time, w *worker) bool {
 	if pause := times.Later(w.noRoomUntil, w.unhealthyUntil); pause.After(now) {
-		m.wakeAt(pause)
-		m.needsPlacement = true
+		m.placeAgainAt(pause)
 		return false
 	}
 	if m.leaseEnded && now.Sub(w.lastHoldSent) > overrunFreshness {
--- a/engine/scheduler.go
+++ b/engine/scheduler.go
@@ -66,6 +66,7 @@
 	candidateBuffer []candidate             // reused by the placement passes
 	candidateOrder  []*candidate            // the candidates in candidateBuffer in placement order
 	nextPlacement   time.Time               // earliest time of the next placement pass
+	pauseEnd        time.Time               // when a placement pass is due because a pause ends; zero: none is
 	nextSupervision time.Time               // earliest time of the next check of all runs
 	noMovesBefore   time.Time               // until then no long-running task is moved off a machine to be released
 	paused          bool                    // no task is started
