--- a/intake/intake.go
+++ b/intake/intake.go
@@ -61,6 +61,7 @@
 type Reply struct {
 	Number     uint64
 	Outcome    Outcome
+	Queue      string // name of the job's queue
 	Job        string
 	Reason     string
 	State      workload.JobState
@@ -333,7 +334,7 @@
 }
 
 func (h *Handler) addReply(p *pendingRequest, r Reply) {
-	r.Number, r.Job = p.Number, p.job
+	r.Number, r.Queue, r.Job = p.Number, p.queue.Name, p.job
 	delete(h.requests, p.Number)
 	h.replies = append(h.replies, r)
 }
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -206,7 +206,7 @@
 	d.Metrics.Timer("intake." + kindNames[a.kind]).Update(took)
 	d.Metrics.Counter("intake.outcome." + r.Outcome.String()).Inc(1)
 	if a.kind != intake.QueryState || r.Outcome == intake.Indeterminate {
-		d.Log.Info("request answered", "kind", kindNames[a.kind], "job", r.Job, "outcome", r.Outcome.String(), "why", r.Reason,
+		d.Log.Info("request answered", "kind", kindNames[a.kind], "queue", r.Queue, "job", r.Job, "outcome", r.Outcome.String(), "why", r.Reason,
 			"took_ms", took.Milliseconds(), "configuration", d.handler.Version())
 	}
 	a.reply <- r
