engine: only a run that began on probation counts as failed on probation

A run that had begun before its worker's quarantine and failed after it repeated the quarantine with twice its length, although it said nothing new.

Evidence: TestRunFromBeforeTheQuarantineIsNoProbation failed before (2 quarantines, 1 expected).

--- a/engine/failures.go
+++ b/engine/failures.go
@@ -86,7 +86,7 @@
 		w.failures = append(w.failures, f)
 	}
 	w.lastFailure = now
-	w.failedOnProbation = w.failedOnProbation || w.suspected && !w.quarantinedUntil.After(now)
+	w.failedOnProbation = w.failedOnProbation || w.suspected && !started.Before(w.quarantinedUntil)
 	m.reviewWorkersOf(s)
 }
 
--- a/engine/failures_test.go
+++ b/engine/failures_test.go
@@ -459,6 +459,22 @@
 	require.Len(t, r.starts, 2, "started in time, without another event")
 }
 
+// A run that had begun before its worker's quarantine and failed after it was taken for a
+// failure on probation, and the quarantine was repeated with twice its length.
+func TestRunFromBeforeTheQuarantineIsNoProbation(t *testing.T) {
+	r := newHarness(t, 1, nil, newWorker("a"))
+	r.step(testJob("j1", simpleStep(1)), testJob("j2", simpleStep(1)), testJob("j3", simpleStep(1)))
+	r.failRuns("a", "j1")
+	r.failRuns("a", "j2")
+	r.advance(100 * time.Millisecond)
+	require.Equal(t, 1, r.countDecisions("worker-quarantined"))
+	r.workers["a"].startResult = Unhealthy // it gets no runs meanwhile
+	r.advance(minQuarantine + 500*time.Millisecond)
+	r.failRuns("a", "j3")
+	r.advance(100 * time.Millisecond)
+	require.Equal(t, 1, r.countDecisions("worker-quarantined"))
+}
+
 // Guards against a hopeless long-running job that is started again and again without a
 // pause, since its tasks have no limit of attempts.
 func TestHopelessLongRunningTaskIsStartedLessAndLess(t *testing.T) {
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -97,7 +97,7 @@
 	lastFailure       time.Time
 	lastSuccess       time.Time
 	suspected         bool          // enough failures count against it
-	failedOnProbation bool          // a run has failed after the end of its quarantine
+	failedOnProbation bool          // a run that it got after its quarantine has failed
 	quarantine        time.Duration // length of its last quarantine while suspected
 	quarantinedUntil  time.Time     // end of the quarantine
 }
