pools: a job and its cancellation don't part during a read

Since a new job is applied at once during a repeated read, its cancellation right behind it has to be too: the engine had not been stepped in between, so it did not know the job yet, and the cancellation waited for the end of the read.

Evidence: TestJobAndItsCancellationDontPartDuringARead failed before (one event, two expected).

--- a/node/pools/work.go
+++ b/node/pools/work.go
@@ -60,7 +60,7 @@
 		p := d.pools[name]
 		switch {
 		case !w.isCancellation && (w.submission == nil || w.submission.Pool != name):
-		case p.engine != nil && !(p.readingJobs && w.awaitsRead(p.engine)):
+		case p.engine != nil && !(p.readingJobs && p.awaitsRead(w)):
 			d.addDecodedEvent(p, w, nil)
 		case p.State == holder.Held && p.readingJobs:
 			p.keepEarlyChange(w.Change)
@@ -70,8 +70,14 @@
 
 // awaitsRead reports whether the change may belong to a job that the engine does not know
 // before the read in progress has ended.
-func (w *workChange) awaitsRead(m *engine.Scheduler) bool {
-	return w.isCancellation && !m.Expects(w.cancelled)
+func (p *pool) awaitsRead(w workChange) bool {
+	if !w.isCancellation || p.engine.Expects(w.cancelled) {
+		return false
+	}
+	return !slices.ContainsFunc(p.events, func(e engine.Event) bool {
+		added, ok := e.(engine.JobAdded)
+		return ok && added.Submission.Key() == w.cancelled
+	})
 }
 
 // maxEarlyBytes is the maximum size of the rows that wait for the end of a read. A VM with
--- a/node/pools/work_test.go
+++ b/node/pools/work_test.go
@@ -49,6 +49,29 @@
 	d.finishReads()
 }
 
+// The cancellation of a job that arrived during a read waited for the end of the read, but
+// the job did not, and was started.
+func TestJobAndItsCancellationDontPartDuringARead(t *testing.T) {
+	d, _ := newDutyWithTwoPools(t)
+	p := d.pools["a"]
+	d.startReads()
+	d.finishReads()
+	require.Equal(t, 1, d.openJobs("a"))
+	p.missedChanges = true
+	d.startReads()
+	job := workload.JobKey{Queue: queueA.Key(), ID: "0000000000000002"}
+	value, err := rows.EncodeWork(workload.Submission{ID: job.ID, Pool: "a", Queue: queueA, Steps: []workload.Step{{Count: 1}}})
+	require.NoError(t, err)
+	d.handleDelta(workDelta(
+		store.Row{Key: store.KeyWork(job), Version: 11, Value: value},
+		store.Row{Key: store.KeyWorkCancel(job), Version: 12, Value: []byte(`{}`)},
+	))
+	require.True(t, p.readingJobs)
+	require.Len(t, p.events, 2)
+	require.Equal(t, engine.CancelRequested{Job: job}, p.events[1])
+	d.finishReads()
+}
+
 // After missed changes an owner read the queues of the configuration and of its
 // predecessor. It did not learn of the cancellation of a job whose queue had been routed to
 // the pool in a version that this process had skipped.
