engine: the record of failures is found without a search

The failures of a step were a list by worker that each placement of its tasks searched, and whether a task had failed elsewhere was found by reading the lists of all workers. For a wide job that fails in part on many workers this grows with their product.

Change: a map by worker, a count of workers for each task, and a mark on workers whose review is requested. Workers are reviewed in the order of their IDs, so that decisions stay reproducible.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -45,3 +45,36 @@
 		}
 	}
 }
+
+// BenchmarkWideFailure measures how long an owner takes for the ends of a job of 600 tasks on
+// 130 workers, of which every other task fails at each worker and the rest succeed.
+func BenchmarkWideFailure(b *testing.B) {
+	const workers = 130
+	for b.Loop() {
+		b.StopTimer()
+		r := &harness{now: time.Unix(1000, 0), workers: map[string]*fakeWorker{}}
+		r.m = New(r.now, testConfig(1), nil)
+		var update WorkersUpdated
+		for i := range workers {
+			w := newWorker(fmt.Sprintf("w%03d", i))
+			w.startedAt = r.now.Add(-time.Minute)
+			r.workers[w.ID] = w
+			update.Workers = append(update.Workers, w.Worker)
+		}
+		r.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
+		step := simpleStep(workload.MaxTasks)
+		step.Size.MilliCores = 3000
+		r.step(testJob("j1", step))
+		b.StartTimer()
+		for handled := 0; handled < len(r.starts) && r.m.jobs["j1"] != nil && !r.m.jobs["j1"].state.Ended(); handled++ {
+			s := r.starts[handled]
+			how := EndDone
+			if s.Task.Index%2 == 1 {
+				how = EndFailed
+			}
+			r.now = r.now.Add(time.Millisecond)
+			r.workers[s.Incarnation.ID].endRun(s.Task, s.Attempt, how)
+			r.step(r.answerHold(Hold{Target: s.Target}))
+		}
+	}
+}
--- a/engine/failures.go
+++ b/engine/failures.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -53,33 +54,26 @@
 // stepFailures are the failures of a step's tasks at one worker.
 type stepFailures struct {
 	step      *step
-	worker    *worker
 	tasks     []*task
 	lastStart time.Time // when the latest of the failed runs was ordered; zero: unknown
 	lastAt    time.Time // when the latest failure was reported
 }
 
-// failuresAt returns the record of the step's failures at the worker, or nil.
-func (s *step) failuresAt(w *worker) *stepFailures {
-	for _, f := range s.failures {
-		if f.worker == w {
-			return f
-		}
-	}
-	return nil
-}
-
 // recordTaskFailure records that a run of the task, ordered at started, has failed at the
 // worker or makes no progress there.
 func (m *Scheduler) recordTaskFailure(now time.Time, t *task, w *worker, started time.Time) {
 	s := t.step
-	f := s.failuresAt(w)
+	f := s.failures[w]
 	if f == nil {
-		f = &stepFailures{step: s, worker: w}
-		s.failures = append(s.failures, f)
+		if s.failures == nil {
+			s.failures = map[*worker]*stepFailures{}
+		}
+		f = &stepFailures{step: s}
+		s.failures[w] = f
 	}
 	if !slices.Contains(f.tasks, t) {
 		f.tasks = append(f.tasks, t)
+		t.failedWorkers++
 	}
 	f.lastStart, f.lastAt = times.Later(f.lastStart, started), now
 	if !slices.Contains(w.failures, f) {
@@ -116,24 +110,17 @@
 // isHopeless reports whether the step fails wherever it runs, as far as is known.
 func (s *step) isHopeless() bool { return len(s.failures) > 1 && len(s.succeededAt) == 0 }
 
-// failedElsewhere reports whether the task has failed at another worker and is not done.
-func (t *task) failedElsewhere(w *worker) bool {
-	return !t.done && slices.ContainsFunc(t.step.failures, func(f *stepFailures) bool {
-		return f.worker != w && slices.Contains(f.tasks, t)
-	})
-}
-
-// blame returns how many failures of the step count against the worker, and whether that
+// blame returns how many failures of the step count against the worker w, and whether that
 // is because the step has succeeded elsewhere.
-func (f *stepFailures) blame() (n int, proved bool) {
-	if !f.step.succeededElsewhere(f.worker) {
+func (f *stepFailures) blame(w *worker) (n int, proved bool) {
+	if !f.step.succeededElsewhere(w) {
 		if len(f.step.failures) > 1 {
 			return 0, false
 		}
 		return 1, false
 	}
 	for _, t := range f.tasks {
-		if !t.failedElsewhere(f.worker) {
+		if t.done || t.failedWorkers == 1 {
 			n++
 		}
 	}
@@ -149,7 +136,7 @@
 	w.failures = slices.DeleteFunc(w.failures, func(f *stepFailures) bool { return now.Sub(f.lastAt) > failureMemory })
 	var counted []*job
 	for _, f := range w.failures {
-		n, proved := f.blame()
+		n, proved := f.blame(w)
 		if n == 0 {
 			continue
 		}
@@ -166,13 +153,14 @@
 
 // reviewWorkersOf requests a review of all workers at which the step has failed.
 func (m *Scheduler) reviewWorkersOf(s *step) {
-	for _, f := range s.failures {
-		m.requestReview(f.worker)
+	for w := range s.failures {
+		m.requestReview(w)
 	}
 }
 
 func (m *Scheduler) requestReview(w *worker) {
-	if !slices.Contains(m.toReview, w) {
+	if !w.underReview {
+		w.underReview = true
 		m.toReview = append(m.toReview, w)
 	}
 }
@@ -180,6 +168,7 @@
 // reviewWorkers quarantines workers and lifts quarantines. It runs after all reports of a
 // call of Step have been processed, since a later one may take an earlier one back.
 func (m *Scheduler) reviewWorkers(now time.Time) {
+	slices.SortFunc(m.toReview, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }) // decisions in a fixed order
 	for _, w := range m.toReview {
 		blame, jobs := m.blameOn(now, w)
 		switch {
@@ -194,7 +183,7 @@
 			w.quarantinedUntil = now.Add(w.quarantine)
 			m.logDecision("worker-quarantined", fmt.Sprintf("%d failures of %d jobs, for %s", blame, jobs, w.quarantine), nil, w, 0)
 		}
-		w.failedOnProbation = false
+		w.underReview, w.failedOnProbation = false, false
 	}
 	clear(m.toReview)
 	m.toReview = m.toReview[:0]
@@ -246,7 +235,7 @@
 // again. Other tasks of the step wait with it as long as no other worker has shown whether
 // the step is at fault.
 func (m *Scheduler) mayRetryAt(now time.Time, t *task, w *worker) bool {
-	f := t.step.failuresAt(w)
+	f := t.step.failures[w]
 	if f == nil || t.step.spec.LongRunning && t.failuresInRow <= 1 {
 		return true // a long-running task may fail at any time by itself
 	}
--- a/engine/job.go
+++ b/engine/job.go
@@ -45,16 +45,16 @@
 	index             int
 	spec              *workload.Step
 	tasks             []*task
-	openTasks         int               // tasks that are not done
-	idleTasks         int               // tasks that are not done and have no run
-	allFrom           time.Time         // latest notBefore of its tasks
-	criticalPath      time.Duration     // longest chain of estimates that starts with this step
-	runsPerWorker     map[string]int    // by worker ID
-	tickets           map[string]ticket // by worker ID
-	advicePending     bool              // a call to the placement policy is in progress
-	failures          []*stepFailures   // by worker
-	succeededAt       []*worker         // workers at which a task has succeeded, at most enoughSuccesses
-	reservationLogged bool              // since its last start, a log line says that a worker is kept free for it
+	openTasks         int                       // tasks that are not done
+	idleTasks         int                       // tasks that are not done and have no run
+	allFrom           time.Time                 // latest notBefore of its tasks
+	criticalPath      time.Duration             // longest chain of estimates that starts with this step
+	runsPerWorker     map[string]int            // by worker ID
+	tickets           map[string]ticket         // by worker ID
+	advicePending     bool                      // a call to the placement policy is in progress
+	failures          map[*worker]*stepFailures // see failures.go
+	succeededAt       []*worker                 // workers at which a task has succeeded, at most enoughSuccesses
+	reservationLogged bool                      // since its last start, a log line says that a worker is kept free for it
 }
 
 // ticket is the answer of the placement policy for a step at a worker. An empty
@@ -74,6 +74,7 @@
 	checkpoint      string // newest checkpoint of any run
 	runs            []*run
 	notBefore       time.Time  // earliest time of the next start
+	failedWorkers   int        // number of workers at which it has failed or made no progress
 	failuresInRow   int        // of a long-running task that has not served in between
 	freed           *freedTask // runs that it lost after the owner's lease had ended; nil: none
 	runAdopted      bool       // this owner has adopted a run of it, so no unknown run can exist at another worker; see overrun.go
--- a/engine/place.go
+++ b/engine/place.go
@@ -363,7 +363,7 @@
 	if t.failures > 0 && now.Sub(w.lastSuccess) < failureMemory {
 		score += weightSucceeded
 	}
-	if f := s.failuresAt(w); f != nil && slices.Contains(f.tasks, t) {
+	if f := s.failures[w]; f != nil && slices.Contains(f.tasks, t) {
 		score -= weightAvoid
 	}
 	return score
@@ -441,7 +441,7 @@
 // gangWorkers returns a worker for each task of a gang, or nil if they do not
 // all fit. It avoids workers at which the gang has failed or that are suspected.
 func (m *Scheduler) gangWorkers(now time.Time, s *step) []*worker {
-	if chosen := m.gangWorkersAmong(now, s, func(w *worker) bool { return !w.suspected && s.failuresAt(w) == nil }); chosen != nil {
+	if chosen := m.gangWorkersAmong(now, s, func(w *worker) bool { return !w.suspected && s.failures[w] == nil }); chosen != nil {
 		return chosen
 	}
 	return m.gangWorkersAmong(now, s, func(w *worker) bool { return true })
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -96,6 +96,7 @@
 	failures          []*stepFailures // that no later success has taken back; see failures.go
 	lastFailure       time.Time
 	lastSuccess       time.Time
+	underReview       bool          // is in Scheduler.toReview
 	suspected         bool          // enough failures count against it
 	failedOnProbation bool          // a run that it got after its quarantine has failed
 	quarantine        time.Duration // length of its last quarantine while suspected
