engine: after a takeover, tasks move only on reports from after the former owner's stops

Cause: a new owner moves no long-running task for the 1.2 s that stop orders of its predecessor may take, and then judges the other tasks of the step by the last report. A worker whose hold has had no answer since may have ended its task for the former owner.

Change: after a takeover a task counts as serving only if its worker has answered a hold that was sent after that time.

--- a/engine/evacuate.go
+++ b/engine/evacuate.go
@@ -110,7 +110,7 @@
 	s := r.task.step
 	budget := max(1, s.spec.DisruptionBudget)
 	for _, t := range s.tasks {
-		if t != r.task && !t.isServing() {
+		if t != r.task && !m.isServing(t) {
 			budget--
 		}
 	}
@@ -118,10 +118,11 @@
 }
 
 // isServing reports whether a run of a long-running task is ready to serve at a
-// worker that answers.
-func (t *task) isServing() bool {
+// worker that answers. After a takeover the worker must have been asked since the former
+// owner's stop orders have ended: it may have stopped the run for it.
+func (m *Scheduler) isServing(t *task) bool {
 	for _, r := range t.runs {
-		if r.state == running && r.percent >= 100 && !r.worker.suspect {
+		if r.state == running && r.percent >= 100 && !r.worker.suspect && !r.worker.lastHoldSent.Before(m.noMovesBefore) {
 			return true
 		}
 	}
