--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -13,16 +13,7 @@
 // jobs in which one worker reports the end of a run.
 func BenchmarkPeak(b *testing.B) {
 	const workers, jobs = 85, 500
-	r := &harness{now: time.Unix(1000, 0), workers: map[string]*fakeWorker{}}
-	r.m = New(r.now, testConfig(1), nil)
-	var update WorkersUpdated
-	for i := range workers {
-		w := newWorker(fmt.Sprintf("w%03d", i))
-		w.startedAt = r.now.Add(-time.Minute)
-		r.workers[w.ID] = w
-		update.Workers = append(update.Workers, w.Worker)
-	}
-	r.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
+	r := newLargeHarness(workers)
 	add := func(n int) {
 		step := simpleStep(8)
 		step.Size = placement.Size{MilliCores: 1500 + n%7*100, MemoryMB: 900}
@@ -52,16 +43,7 @@
 	const workers = 130
 	for b.Loop() {
 		b.StopTimer()
-		r := &harness{now: time.Unix(1000, 0), workers: map[string]*fakeWorker{}}
-		r.m = New(r.now, testConfig(1), nil)
-		var update WorkersUpdated
-		for i := range workers {
-			w := newWorker(fmt.Sprintf("w%03d", i))
-			w.startedAt = r.now.Add(-time.Minute)
-			r.workers[w.ID] = w
-			update.Workers = append(update.Workers, w.Worker)
-		}
-		r.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
+		r := newLargeHarness(workers)
 		step := simpleStep(workload.MaxTasks)
 		step.Size.MilliCores = 3000
 		r.step(testJob("j1", step))
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -71,6 +72,22 @@
 	return r
 }
 
+// newLargeHarness returns a harness, without checks, of a pool with n workers, w000 and so
+// on, that has no former owner.
+func newLargeHarness(n int) *harness {
+	r := &harness{now: time.Unix(1000, 0), workers: map[string]*fakeWorker{}}
+	r.m = New(r.now, testConfig(1), nil)
+	var update WorkersUpdated
+	for i := range n {
+		w := newWorker(fmt.Sprintf("w%03d", i))
+		w.startedAt = r.now.Add(-time.Minute)
+		r.workers[w.ID] = w
+		update.Workers = append(update.Workers, w.Worker)
+	}
+	r.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
+	return r
+}
+
 func newWorker(id string) *fakeWorker {
 	return &fakeWorker{
 		Worker: workload.Worker{
--- a/engine/failures_test.go
+++ b/engine/failures_test.go
@@ -64,22 +64,13 @@
 
 func (d failureDay) play(seed uint64) failureOutcome {
 	s := &failureDayState{
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		harness: &harness{now: time.Unix(1000, 0), workers: map[string]*fakeWorker{}},
-		bad:     map[string]bool{}, hopeless: map[string]bool{},
-	}
-	s.m = New(s.now, testConfig(1), nil)
-	var update WorkersUpdated
-	for i := range d.workers {
-		w := newWorker(fmt.Sprintf("w%02d", i))
-		w.startedAt = s.now.Add(-time.Minute)
-		s.workers[w.ID] = w
-		update.Workers = append(update.Workers, w.Worker)
+		rng: rand.New(rand.NewPCG(seed, 1)), harness: newLargeHarness(d.workers),
+		bad: map[string]bool{}, hopeless: map[string]bool{},
 	}
+	ids := slices.Sorted(maps.Keys(s.workers))
 	for _, i := range s.rng.Perm(d.workers)[:d.bad] {
-		s.bad[fmt.Sprintf("w%02d", i)] = true
+		s.bad[ids[i]] = true
 	}
-	s.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
 
 	arrivals := map[time.Duration][]JobAdded{}
 	small := map[string]bool{}
--- a/engine/overload_test.go
+++ b/engine/overload_test.go
@@ -115,17 +115,8 @@
 // play runs the overload in a Scheduler with workers that answer at once.
 func (c overload) play(seed uint64) outcome {
 	jobs := c.draw(rand.New(rand.NewPCG(seed, 1)))
-	begin := time.Unix(1000, 0)
-	r := &harness{now: begin, workers: map[string]*fakeWorker{}}
-	r.m = New(r.now, testConfig(1), nil)
-	var update WorkersUpdated
-	for i := range c.workers {
-		w := newWorker(fmt.Sprintf("w%03d", i))
-		w.startedAt = r.now.Add(-time.Minute)
-		r.workers[w.ID] = w
-		update.Workers = append(update.Workers, w.Worker)
-	}
-	r.step(QueuesUpdated{Queues: []workload.Queue{testQueue}}, update)
+	r := newLargeHarness(c.workers)
+	begin := r.now
 	byID := map[string]*overloadJob{}
 	for _, j := range jobs {
 		byID[j.added.Submission.ID] = j
