intake, pools, engine: tidy the identity of calls and the judging of workers

From reading the whole change once more; behaviour stays as it is.

- intake.Call carries the workload.JobKey of its job instead of ID, host and prefix, from which the duty built the key again for each call, and the handler for each GET.
Two tests build the field by its new type.
- recordTombstone uses the queue that the change was decoded to instead of parsing the row's key a second time.
- The blame on a worker is a method of the worker; it used nothing of the scheduler.
- Two comments say what they meant.

--- a/engine/failures.go
+++ b/engine/failures.go
@@ -130,9 +130,9 @@
 	return n, true
 }
 
-// blameOn returns how many failures count against the worker, and the number of jobs that
+// blame returns how many failures count against the worker, and the number of jobs that
 // they belong to.
-func (m *Scheduler) blameOn(now time.Time, w *worker) (blame, jobs int) {
+func (w *worker) blame(now time.Time) (blame, jobs int) {
 	w.failures = slices.DeleteFunc(w.failures, func(f *stepFailures) bool { return now.Sub(f.lastAt) > failureMemory })
 	var counted []*job
 	for _, f := range w.failures {
@@ -170,7 +170,7 @@
 func (m *Scheduler) reviewWorkers(now time.Time) {
 	slices.SortFunc(m.toReview, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) }) // decisions in a fixed order
 	for _, w := range m.toReview {
-		blame, jobs := m.blameOn(now, w)
+		blame, jobs := w.blame(now)
 		switch {
 		case blame < quarantineBlame:
 			if w.suspected {
--- a/engine/place.go
+++ b/engine/place.go
@@ -64,7 +64,7 @@
 // place starts waiting tasks on workers with free capacity.
 func (m *Scheduler) place(now time.Time) {
 	m.checkPauses(now)
-	defer m.checkPauses(now)
+	defer m.checkPauses(now) // of pauses that the pass finds
 	if !m.needsPlacement || m.paused {
 		return
 	}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -73,9 +73,7 @@
 type Call struct {
 	Number     uint64
 	Op         Op
-	Job        string
-	Host       string              // of the job's queue
-	Prefix     string              // path prefix of the job's queue
+	Job        workload.JobKey
 	Pool       string              // for ReadProgress
 	Submission workload.Submission // for Insert
 	Delay      time.Duration       // how long to wait before the call
@@ -148,7 +146,7 @@
 // pendingRequest is a request that has no reply yet.
 type pendingRequest struct {
 	Request
-	job          string
+	job          workload.JobKey
 	queue        workload.Queue
 	arrived      time.Time
 	deadline     time.Time
@@ -233,7 +231,7 @@
 		h.addReply(p, Reply{Outcome: NoQueue, Reason: "no queue for the host and path"})
 		return
 	}
-	p.queue, p.job, p.progressPool = *queue, id, queue.Pool
+	p.queue, p.job, p.progressPool = *queue, workload.JobKey{Queue: queue.Key(), ID: id}, queue.Pool
 	switch {
 	case r.Kind == QueryState && id == "":
 		h.addReply(p, Reply{Outcome: WaitingCount, Waiting: h.waiting[queue.Name]})
@@ -262,7 +260,7 @@
 		}
 	}
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(p.job))
+	_, _ = hash.Write([]byte(p.job.ID))
 	return base + time.Duration(float64(base)*float64(hash.Sum32())/(1<<32))
 }
 
@@ -272,7 +270,7 @@
 
 func (h *Handler) handleSubmit(now time.Time, p *pendingRequest) {
 	s := &p.Submission
-	s.ID, s.Queue, s.Pool = p.job, p.queue, p.queue.Pool
+	s.ID, s.Queue, s.Pool = p.job.ID, p.queue, p.queue.Pool
 	if p.DecodeError == "" {
 		if err := s.Validate(); err != nil {
 			p.DecodeError = err.Error()
@@ -326,7 +324,6 @@
 		h.unansweredSince = now
 	}
 	c.Number, c.Job, c.Pool, c.Deadline = p.Number, p.job, p.progressPool, p.deadline
-	c.Host, c.Prefix = p.queue.Host, p.queue.Prefix
 	if c.Op == Insert {
 		c.Submission = p.Submission
 	}
@@ -334,7 +331,7 @@
 }
 
 func (h *Handler) addReply(p *pendingRequest, r Reply) {
-	r.Number, r.Queue, r.Job = p.Number, p.queue.Name, p.job
+	r.Number, r.Queue, r.Job = p.Number, p.queue.Name, p.job.ID
 	delete(h.requests, p.Number)
 	h.replies = append(h.replies, r)
 }
@@ -392,7 +389,7 @@
 
 func (h *Handler) handleProgressRead(now time.Time, p *pendingRequest, a Answer) {
 	switch {
-	case a.Result == Done && a.Progress.BelongsTo(p.queue.Key()):
+	case a.Result == Done && a.Progress.BelongsTo(p.job.Queue):
 		h.addReply(p, Reply{Outcome: Found, State: a.Progress.State})
 	case p.progressPool != p.queue.Pool:
 		h.addReply(p, Reply{Outcome: Found, State: workload.Queued})
--- a/node/intake/cancel_test.go
+++ b/node/intake/cancel_test.go
@@ -113,7 +113,7 @@
 func TestSubmissionIsNotSentAfterItsDeadline(t *testing.T) {
 	table := &fakeTable{}
 	d := New(Options{Table: table, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
-	call := intake.Call{Number: 1, Op: intake.Insert, Job: cancelledJob, Deadline: steady.Now().Add(-time.Millisecond)}
+	call := intake.Call{Number: 1, Op: intake.Insert, Job: workload.JobKey{ID: cancelledJob}, Deadline: steady.Now().Add(-time.Millisecond)}
 	d.runCall(context.Background(), call)
 	require.Equal(t, intake.Answer{Number: 1, Op: intake.Insert, Result: intake.Unavailable}, <-d.answers.C())
 	require.Zero(t, table.commits)
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -236,23 +236,22 @@
 
 func (d *Duty) call(ctx context.Context, c intake.Call) intake.Answer {
 	a := intake.Answer{Number: c.Number, Op: c.Op}
-	job := workload.JobKey{Queue: workload.QueueKey(c.Host, c.Prefix), ID: c.Job}
 	var err error
 	switch c.Op {
 	case intake.Insert:
-		err = d.insert(ctx, job, c, &a)
+		err = d.insert(ctx, c, &a)
 	case intake.PutCancel:
-		err = d.putCancel(ctx, job)
+		err = d.putCancel(ctx, c.Job)
 	case intake.PutTombstone:
-		err = d.putTombstone(ctx, job, &a)
+		err = d.putTombstone(ctx, c.Job, &a)
 	case intake.ReadSubmission:
 		var row store.Row
-		if row, err = d.Table.Get(ctx, store.KeyWork(job)); err == nil {
+		if row, err = d.Table.Get(ctx, store.KeyWork(c.Job)); err == nil {
 			a.Submission, err = rows.DecodeWork(row.Value)
 		}
 	case intake.ReadProgress:
 		var row store.Row
-		if row, err = d.Table.Get(ctx, store.KeyProgress(c.Pool, c.Job)); err == nil {
+		if row, err = d.Table.Get(ctx, store.KeyProgress(c.Pool, c.Job.ID)); err == nil {
 			a.Progress, err = rows.DecodeProgress(row.Value)
 		}
 	}
@@ -264,13 +263,13 @@
 		a.Result = intake.Unknown
 	default:
 		a.Result = intake.Unavailable
-		d.Log.Debug("call to the store failed", "job", c.Job, "error", err)
+		d.Log.Debug("call to the store failed", "job", c.Job.ID, "error", err)
 	}
 	return a
 }
 
 // insert stores a submission unless one with its id or a tombstone for it exists.
-func (d *Duty) insert(ctx context.Context, job workload.JobKey, c intake.Call, a *intake.Answer) error {
+func (d *Duty) insert(ctx context.Context, c intake.Call, a *intake.Answer) error {
 	value, err := rows.EncodeWork(c.Submission)
 	if err != nil {
 		return err
@@ -279,7 +278,7 @@
 		a.Result = intake.TooLarge
 		return nil
 	}
-	work, cancel := store.KeyWork(job), store.KeyWorkCancel(job)
+	work, cancel := store.KeyWork(c.Job), store.KeyWorkCancel(c.Job)
 	_, err = d.Table.Commit(ctx, []store.Op{{Kind: store.OpInsert, Key: work, Value: value}, {Kind: store.OpCheck, Key: cancel}})
 	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -30,7 +30,7 @@
 func TestSubmissionTooLargeForARowIsNotSent(t *testing.T) {
 	f := &fakeTable{}
 	d := New(Options{Table: f, Log: hclog.NewNullLogger(), Metrics: metrics.New()})
-	call := intake.Call{Number: 1, Op: intake.Insert, Job: "5c0e7a21d94b36f8", Submission: workload.Submission{Spec: strings.Repeat("x", 70_000)}}
+	call := intake.Call{Number: 1, Op: intake.Insert, Job: workload.JobKey{ID: "5c0e7a21d94b36f8"}, Submission: workload.Submission{Spec: strings.Repeat("x", 70_000)}}
 	require.Equal(t, intake.TooLarge, d.call(context.Background(), call).Result)
 	require.Zero(t, f.commits)
 	call.Submission.Spec = strings.Repeat("x", 4000)
--- a/node/pools/pool.go
+++ b/node/pools/pool.go
@@ -174,7 +174,7 @@
 			}
 		}
 	}
-	p.clearEarlyChanges() // the read shows them
+	p.clearEarlyChanges() // the new read includes them
 	for _, q := range p.unreadQueues {
 		queues[q] = true
 	}
--- a/node/pools/tombstones.go
+++ b/node/pools/tombstones.go
@@ -33,12 +33,12 @@
 
 // recordTombstone records a change of a cancellation's row if that row is a tombstone for
 // a queue of the pool.
-func (d *Duty) recordTombstone(p *pool, c store.Change) {
+func (d *Duty) recordTombstone(p *pool, c workChange) {
 	if c.Removed {
 		p.tombstones.Remove(c.Key)
 		return
 	}
-	queue := store.QueueOfPart(store.WorkPart(c.Key))
+	queue := c.cancelled.Queue
 	if !p.queues[queue] && !slices.Contains(p.FormerControl.Queues, queue) {
 		return
 	}
--- a/node/pools/work.go
+++ b/node/pools/work.go
@@ -114,7 +114,7 @@
 
 func (d *Duty) addDecodedEvent(p *pool, w workChange, progressByJob map[string]*workload.Progress) int {
 	if w.isCancellation {
-		d.recordTombstone(p, w.Change)
+		d.recordTombstone(p, w)
 		if !w.Removed {
 			p.addEvent(engine.CancelRequested{Job: w.cancelled})
 		}
